--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command line as a library. */
+export {runCommandLine} from './run.js';
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,2 @@
+/** The caller library. */
+export {};
--- /dev/null
+++ b/packages/decisions/src/token_bucket.ts
@@ -0,0 +1,45 @@
+/** Token buckets for the rates of customers. */
+
+/** Options of {@link createTokenBucket}. */
+export interface TokenBucketOptions {
+  /** Refill in tokens per second. */
+  tokensPerSecond: number;
+  /** Most tokens that the bucket holds. */
+  burstTokens: number;
+}
+
+/** A bucket that can go into debt, since the length of an answer is unknown. */
+export interface TokenBucket {
+  /** Takes tokens; returns 0, or the wait in milliseconds when refused. */
+  take(tokens: number, now: number): number;
+  /** Corrects an earlier estimate; a negative number gives tokens back. */
+  settle(tokens: number): void;
+}
+
+/** Creates a full bucket. */
+export function createTokenBucket(options: TokenBucketOptions): TokenBucket {
+  const {tokensPerSecond, burstTokens} = options;
+  let level = burstTokens;
+  let refilledAt: number | undefined;
+
+  function refill(now: number): void {
+    const elapsedMs = now - (refilledAt ?? now);
+    refilledAt = now;
+    level = Math.min(burstTokens, level + (elapsedMs * tokensPerSecond) / 1000);
+  }
+
+  return {
+    take: (tokens, now) => {
+      refill(now);
+      const needed = Math.min(tokens, burstTokens);
+      if (level < needed) {
+        return Math.ceil(((needed - level) * 1000) / tokensPerSecond);
+      }
+      level -= tokens;
+      return 0;
+    },
+    settle: tokens => {
+      level = Math.min(burstTokens, level - tokens);
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/channel.ts
@@ -0,0 +1,60 @@
+/** A bounded channel between a producer and one consumer. */
+
+/** An open channel. */
+export interface Channel<T> extends AsyncIterable<T> {
+  /** Adds an item; resolves when there is room for the next one. */
+  push(item: T): Promise<void>;
+  /** Ends the channel after the items that it holds. */
+  end(): void;
+}
+
+const DEFAULT_CAPACITY = 64;
+
+/** Creates a channel that makes its producer wait when it is full. */
+export function createChannel<T>(capacity = DEFAULT_CAPACITY): Channel<T> {
+  const items: T[] = [];
+  let hasEnded = false;
+  let wakeConsumer: (() => void) | undefined;
+  let wakeProducer: (() => void) | undefined;
+
+  function takeItem(): T | undefined {
+    const item = items.shift();
+    wakeProducer?.();
+    wakeProducer = undefined;
+    return item;
+  }
+
+  return {
+    push: async item => {
+      if (hasEnded) {
+        return;
+      }
+      items.push(item);
+      wakeConsumer?.();
+      if (items.length >= capacity) {
+        await new Promise<void>(resolve => {
+          wakeProducer = resolve;
+        });
+      }
+    },
+    end: () => {
+      hasEnded = true;
+      wakeConsumer?.();
+      wakeProducer?.();
+    },
+    async *[Symbol.asyncIterator]() {
+      for (;;) {
+        if (items.length > 0) {
+          yield takeItem()!;
+        } else if (hasEnded) {
+          return;
+        } else {
+          await new Promise<void>(resolve => {
+            wakeConsumer = resolve;
+          });
+          wakeConsumer = undefined;
+        }
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/peer_clients.ts
@@ -0,0 +1,55 @@
+/** Clients of the other instances, one HTTP/2 connection each. */
+import {createClient} from '@connectrpc/connect';
+import type {Client} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {
+  DispatchService,
+  PeerService,
+  TicketService,
+} from '@buckthornbeam/protocol';
+
+/** The services of one peer. */
+export interface PeerClient {
+  peer: Client<typeof PeerService>;
+  dispatch: Client<typeof DispatchService>;
+  ticket: Client<typeof TicketService>;
+}
+
+/** Keeps one client for each address. */
+export interface PeerClients {
+  getClient(address: string): PeerClient;
+}
+
+/** Idle connections are closed after this time, in milliseconds. */
+const IDLE_CONNECTION_MS = 60_000;
+
+/** Creates an empty pool of peer clients. */
+export function createPeerClients(): PeerClients {
+  const clients = new Map<string, PeerClient>();
+
+  function createPeerClient(address: string): PeerClient {
+    const transport = createConnectTransport({
+      baseUrl: `http://${address}`,
+      httpVersion: '2',
+      useBinaryFormat: true,
+      idleConnectionTimeoutMs: IDLE_CONNECTION_MS,
+    });
+    return {
+      peer: createClient(PeerService, transport),
+      dispatch: createClient(DispatchService, transport),
+      ticket: createClient(TicketService, transport),
+    };
+  }
+
+  return {
+    getClient: address => {
+      const known = clients.get(address);
+      if (known) {
+        return known;
+      }
+      const client = createPeerClient(address);
+      clients.set(address, client);
+      return client;
+    },
+  };
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,180 @@
+/** The router: all tasks of one entry instance, put together. */
+import {create} from '@bufbuild/protobuf';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {decodeTicket} from '@buckthornbeam/decisions';
+import type {Settings} from '@buckthornbeam/config';
+import {
+  DispatchService,
+  ExecuteTicketResponseSchema,
+  FetchFileSetResponseSchema,
+  PeerService,
+  TicketService,
+} from '@buckthornbeam/protocol';
+import type {ExecuteTicketRequest} from '@buckthornbeam/protocol';
+import {
+  createLogger,
+  createMetrics,
+  createRandom,
+  createSystemClock,
+  hashToUint32,
+  toRouterError,
+} from '@buckthornbeam/shared';
+import type {Clock, Logger} from '@buckthornbeam/shared';
+import {createEngineClient} from './engine_client.js';
+import {startCallerServer} from './http/caller_server.js';
+import type {CallerServer} from './http/caller_server.js';
+import {createIdentity} from './identity.js';
+import {createPeerClients} from './peer_clients.js';
+import {startPeerServer} from './peer_server.js';
+import type {PeerServer} from './peer_server.js';
+import {createEntry} from './tasks/entry.js';
+import {createIssuer} from './tasks/issuer.js';
+import {createMember} from './tasks/member.js';
+import {createOwner} from './tasks/owner.js';
+import {createWatcher} from './tasks/watcher.js';
+
+/** Options of {@link createRouter}. */
+export interface RouterOptions {
+  settings: Settings;
+  logger?: Logger;
+  clock?: Clock;
+}
+
+/** One entry instance. */
+export interface Router {
+  /** Opens the sockets and starts the tasks. */
+  start(): Promise<{callerAddress: string; peerAddress: string}>;
+  /** Stops gracefully: running requests finish first. */
+  stop(): Promise<void>;
+}
+
+/** Creates an entry instance from its settings. */
+export function createRouter(options: RouterOptions): Router {
+  const {settings} = options;
+  const {id, dataCentre} = settings.instance;
+  const clock = options.clock ?? createSystemClock();
+  const logger =
+    options.logger ??
+    createLogger({level: settings.logLevel, context: {instance: id}});
+  const metrics = createMetrics({
+    ...settings.metrics,
+    globalTags: {instance: id, dataCentre},
+  });
+  const identity = createIdentity(id, dataCentre);
+  const random = createRandom(hashToUint32(identity.incarnation));
+  const clients = createPeerClients();
+  const engines = createEngineClient();
+  let isLeaving = false;
+  let callerServer: CallerServer | undefined;
+  let peerServer: PeerServer | undefined;
+
+  const watcher = createWatcher({
+    settings,
+    logger,
+    onFileSet: set => owner.applyFileSet(set),
+    onInstances: instances => member.applyInstances(instances),
+  });
+  const findFileSet = () => watcher.findFileSet()?.set;
+  const member = createMember({
+    identity,
+    settings,
+    clock,
+    logger,
+    clients,
+    getVersion: () => findFileSet()?.version,
+    listLoads: () => owner.listLoads(),
+    isLeaving: () => isLeaving,
+    onBundle: (bundle, source) =>
+      watcher.post({type: 'bundle', bundle, source}),
+  });
+  const owner = createOwner({
+    settings,
+    clock,
+    logger,
+    metrics,
+    engines,
+    isOwner: serverId => member.findOwner(serverId) === id,
+  });
+  const issuer = createIssuer({
+    identity,
+    settings,
+    logger,
+    getFileSet: () => findFileSet()!,
+  });
+  const entry = createEntry({
+    identity,
+    getCallerAddress: () => callerServer!.address,
+    ticketKey: settings.ticketKey,
+    clock,
+    random,
+    logger,
+    metrics,
+    clients,
+    member,
+    owner,
+    issuer,
+    findFileSet,
+    isLeaving: () => isLeaving,
+  });
+
+  async function executeTicket(request: ExecuteTicketRequest) {
+    try {
+      const ticket = decodeTicket(request.ticket, settings.ticketKey);
+      const result = await issuer.execute(ticket, {
+        ...request,
+        method: 'POST',
+      });
+      return create(ExecuteTicketResponseSchema, result);
+    } catch (error) {
+      const {code, message, outcome} = toRouterError(error);
+      return create(ExecuteTicketResponseSchema, {
+        code,
+        detail: message,
+        outcome,
+      });
+    }
+  }
+
+  function addPeerRoutes(router: ConnectRouter): void {
+    router.service(PeerService, {
+      heartbeat: request => member.handleHeartbeat(request),
+      fetchFileSet: () => {
+        const current = watcher.findFileSet();
+        return create(FetchFileSetResponseSchema, {
+          bundle: Buffer.from(current?.bundle ?? ''),
+        });
+      },
+    });
+    router.service(DispatchService, {
+      dispatch: (request, context) => owner.dispatch(request, context.signal),
+    });
+    router.service(TicketService, {executeTicket});
+  }
+
+  return {
+    start: async () => {
+      peerServer = await startPeerServer(settings.peers, addPeerRoutes);
+      callerServer = await startCallerServer(entry, settings);
+      watcher.start();
+      member.start();
+      const addresses = {
+        callerAddress: callerServer.address,
+        peerAddress: peerServer.address,
+      };
+      logger.info('started', {...addresses, incarnation: identity.incarnation});
+      return addresses;
+    },
+    stop: async () => {
+      isLeaving = true;
+      logger.info('stopping');
+      await callerServer?.close();
+      await watcher.stop();
+      member.stop();
+      await peerServer?.close();
+      await engines.close();
+      await issuer.stop();
+      await metrics.close();
+      logger.info('stopped');
+    },
+  };
+}
--- /dev/null
+++ b/packages/shared/src/errors.ts
@@ -0,0 +1,237 @@
+/** The table of error codes, their HTTP status and their messages. */
+import VError from 'verror';
+import {Outcome} from './outcomes.js';
+
+interface ErrorEntry {
+  /** HTTP status towards callers. */
+  readonly status: number;
+  /** Short text for people. */
+  readonly title: string;
+  /** What the reader can do about it. */
+  readonly advice: string;
+}
+
+/** Every failure of the system by its stable code. */
+export const errorTable = {
+  malformed_json: {
+    status: 400,
+    title: 'The body is not valid JSON.',
+    advice: 'Send one JSON object encoded as UTF-8.',
+  },
+  invalid_request: {
+    status: 400,
+    title: 'The request does not have the expected shape.',
+    advice: 'Correct the fields named in the detail.',
+  },
+  unknown_class: {
+    status: 400,
+    title: 'The request class is not part of the file set in force.',
+    advice: 'Use a class named in classes.json.',
+  },
+  unknown_customer: {
+    status: 401,
+    title: 'The API key belongs to no customer.',
+    advice: 'Send the key of a customer as a bearer token.',
+  },
+  unknown_model: {
+    status: 404,
+    title: 'The model is not part of the file set in force.',
+    advice: 'Use a model named in models.json.',
+  },
+  unknown_service: {
+    status: 404,
+    title: 'The plain service is not part of the file set in force.',
+    advice: 'Use a service named in plain-services.json.',
+  },
+  unknown_route: {
+    status: 404,
+    title: 'There is no such route.',
+    advice: 'See docs/CALLERS.md for the routes.',
+  },
+  unsupported_media_type: {
+    status: 415,
+    title: 'The content type is not supported.',
+    advice: 'Send application/json.',
+  },
+  body_too_large: {
+    status: 413,
+    title: 'The body is larger than the limit.',
+    advice: 'Send a smaller body, or raise maxBodyBytes in the settings.',
+  },
+  request_timeout: {
+    status: 408,
+    title: 'The request did not arrive whole in time.',
+    advice: 'Send the body without long pauses.',
+  },
+  customer_limit: {
+    status: 429,
+    title: "The customer's rate is used up.",
+    advice: 'Wait for the time in retry-after.',
+  },
+  overloaded: {
+    status: 503,
+    title: 'No capacity is left for this class.',
+    advice: 'Wait for the time in retry-after.',
+  },
+  no_server: {
+    status: 503,
+    title: 'No backend server in service holds the model.',
+    advice: 'Check backend-servers.json and data-centres.json.',
+  },
+  not_owner: {
+    status: 503,
+    title: 'The instance does not own the backend server.',
+    advice: 'Retry; the owner changes within seconds.',
+  },
+  not_ready: {
+    status: 503,
+    title: 'The instance has no file set in force yet.',
+    advice: 'Use another address from GET /v1/entries.',
+  },
+  isolated: {
+    status: 503,
+    title:
+      'The instance reaches neither the platform nor a majority of its peers.',
+    advice: 'Use another address from GET /v1/entries.',
+  },
+  leaving: {
+    status: 503,
+    title: 'The instance is stopping.',
+    advice: 'Use another address from GET /v1/entries.',
+  },
+  peer_unreachable: {
+    status: 502,
+    title: 'The owner of the backend server could not be reached.',
+    advice: 'Retry.',
+  },
+  server_refused: {
+    status: 503,
+    title: 'The backend server refused the request.',
+    advice: 'Retry after the time in retry-after.',
+  },
+  server_unreachable: {
+    status: 502,
+    title: 'No connection to the backend server could be made.',
+    advice: 'Retry.',
+  },
+  answer_truncated: {
+    status: 502,
+    title: 'The answer ended before its terminator.',
+    advice: 'Reconnect with the last offset to continue the answer.',
+  },
+  preempted: {
+    status: 503,
+    title: 'The request made room for a higher tier.',
+    advice: 'Reconnect with the last offset to continue the answer.',
+  },
+  cancelled: {
+    status: 499,
+    title: 'The caller left before the answer was whole.',
+    advice: 'Send the request again if the answer is still wanted.',
+  },
+  ticket_required: {
+    status: 428,
+    title: 'The call must not be repeated and needs a ticket.',
+    advice:
+      'Send the call again with the ticket in the idempotency-ticket header.',
+  },
+  ticket_invalid: {
+    status: 400,
+    title: 'The ticket is forged, damaged or belongs to another call.',
+    advice: 'Ask for a ticket and use it unchanged.',
+  },
+  ticket_expired: {
+    status: 409,
+    title: 'The ticket is past its time and its result is not known.',
+    advice: 'Look up the result at the service before making another call.',
+  },
+  ticket_issuer_gone: {
+    status: 409,
+    title: 'The instance that issued the ticket is gone.',
+    advice: 'Look up the result at the service before making another call.',
+  },
+  key_in_use: {
+    status: 409,
+    title: 'The idempotency key is in use by another ticket.',
+    advice: 'Use the first ticket of this key.',
+  },
+  invalid_settings: {
+    status: 500,
+    title: 'The settings are invalid.',
+    advice: 'Correct the errors listed and start again.',
+  },
+  invalid_file_set: {
+    status: 500,
+    title: 'The file set is invalid.',
+    advice: 'Correct the errors listed; the previous set stays in force.',
+  },
+  platform_unavailable: {
+    status: 503,
+    title: 'The configuration service gives no answer.',
+    advice: 'Nothing to do: the last accepted file set stays in force.',
+  },
+  usage: {
+    status: 400,
+    title: 'The command line is not valid.',
+    advice: 'See --help.',
+  },
+  internal: {
+    status: 500,
+    title: 'An unexpected failure.',
+    advice: 'Report it with the log lines of this request.',
+  },
+} as const satisfies Record<string, ErrorEntry>;
+
+export type ErrorCode = keyof typeof errorTable;
+
+/** Options of a {@link RouterError}. */
+export interface RouterErrorOptions {
+  /** The failure that led to this one. */
+  cause?: Error;
+  /** What is known about execution; `not_run` where nothing was sent. */
+  outcome?: Outcome;
+  /** Earliest useful time of a retry, in milliseconds from now. */
+  retryAfterMs?: number;
+}
+
+/** The one error type of the system; `code` is a key of {@link errorTable}. */
+export class RouterError extends VError {
+  readonly code: ErrorCode;
+  readonly outcome: Outcome;
+  readonly retryAfterMs: number | undefined;
+
+  constructor(
+    code: ErrorCode,
+    detail: string,
+    options: RouterErrorOptions = {},
+  ) {
+    super(
+      {
+        name: 'RouterError',
+        ...(options.cause ? {cause: options.cause} : {}),
+      },
+      '%s',
+      detail,
+    );
+    this.code = code;
+    this.outcome = options.outcome ?? Outcome.NOT_RUN;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+}
+
+/** Whether a text is a code of {@link errorTable}. */
+export function isErrorCode(code: string): code is ErrorCode {
+  return Object.hasOwn(errorTable, code);
+}
+
+/** Returns the error itself, or wraps what is not a {@link RouterError}. */
+export function toRouterError(
+  error: unknown,
+  outcome: Outcome = Outcome.UNKNOWN,
+): RouterError {
+  if (error instanceof RouterError) {
+    return error;
+  }
+  const cause = error instanceof Error ? error : new VError(String(error));
+  return new RouterError('internal', cause.message, {cause, outcome});
+}
--- /dev/null
+++ b/packages/shared/src/hash.ts
@@ -0,0 +1,26 @@
+/** Hashes: xxHash for placement, SHA-256 for digests. */
+import {createHash} from 'node:crypto';
+import createXxhash from 'xxhash-wasm';
+
+const xxhash = await createXxhash();
+
+/** Hashes a text to an unsigned 32-bit integer. */
+export function hashToUint32(text: string, seed = 0): number {
+  return xxhash.h32(text, seed);
+}
+
+/** Computes the SHA-256 digest of a text as lower-case hexadecimal. */
+export function computeDigest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** Ranks candidates for a key by rendezvous hashing, best first. */
+export function rankByRendezvous(
+  key: string,
+  candidates: readonly string[],
+): string[] {
+  return candidates
+    .map(id => ({id, weight: hashToUint32(`${key}\n${id}`)}))
+    .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map(entry => entry.id);
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,22 @@
+/** Parts that every package uses: time, errors, logs, metrics, hashes. */
+export {loadChart} from './chart.js';
+export type {Chart} from './chart.js';
+export {RouterError, errorTable, isErrorCode, toRouterError} from './errors.js';
+export type {ErrorCode, RouterErrorOptions} from './errors.js';
+export {computeDigest, hashToUint32, rankByRendezvous} from './hash.js';
+export {LogLevel, createLogger, formatFields} from './logs.js';
+export type {LogFields, LogValue, Logger, LoggerOptions} from './logs.js';
+export {createMailbox} from './mailbox.js';
+export type {Mailbox, MessageHandlers, TaskMessage} from './mailbox.js';
+export {createMetrics} from './metrics.js';
+export type {MetricTags, Metrics, MetricsOptions} from './metrics.js';
+export {Outcome} from './outcomes.js';
+export {createRandom, pickOne} from './random.js';
+export type {RandomSource} from './random.js';
+export {
+  SECOND_MS,
+  createManualClock,
+  createSystemClock,
+  waitFor,
+} from './time.js';
+export type {Clock, ManualClock} from './time.js';
--- /dev/null
+++ b/packages/shared/src/metrics.ts
@@ -0,0 +1,56 @@
+/** Metrics over StatsD datagrams. */
+import {StatsD} from 'hot-shots';
+
+/** Tags of a metric. */
+export type MetricTags = Record<string, string>;
+
+/** Sends metrics. */
+export interface Metrics {
+  count(name: string, value?: number, tags?: MetricTags): void;
+  gauge(name: string, value: number, tags?: MetricTags): void;
+  timing(name: string, ms: number, tags?: MetricTags): void;
+  close(): Promise<void>;
+}
+
+/** Options of {@link createMetrics}. */
+export interface MetricsOptions {
+  /** `host:port` of the StatsD daemon; metrics are dropped when absent. */
+  address?: string;
+  globalTags?: MetricTags;
+}
+
+const PREFIX = 'buckthornbeam.';
+
+/** Creates a metrics client on top of hot-shots. */
+export function createMetrics(options: MetricsOptions = {}): Metrics {
+  const [host = '127.0.0.1', port = '8125'] = (options.address ?? '').split(
+    ':',
+  );
+  const client = new StatsD({
+    host,
+    port: Number(port),
+    prefix: PREFIX,
+    mock: options.address === undefined,
+    maxBufferSize: 1400,
+    ...(options.globalTags ? {globalTags: options.globalTags} : {}),
+    // Losing a metric must not disturb the traffic.
+    errorHandler: () => undefined,
+  });
+  // A mock client keeps every message; drop them.
+  const isMock = options.address === undefined;
+  return {
+    count: (name, value = 1, tags = {}) => {
+      if (!isMock) client.increment(name, value, tags);
+    },
+    gauge: (name, value, tags = {}) => {
+      if (!isMock) client.gauge(name, value, tags);
+    },
+    timing: (name, ms, tags = {}) => {
+      if (!isMock) client.timing(name, ms, tags);
+    },
+    close: () =>
+      new Promise(resolve => {
+        client.close(() => resolve());
+      }),
+  };
+}
--- /dev/null
+++ b/packages/shared/src/random.ts
@@ -0,0 +1,27 @@
+/** Seeded random numbers. */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** A source of random numbers. */
+export interface RandomSource {
+  /** A number in [0, 1). */
+  nextFloat(): number;
+  /** An integer in [0, bound). */
+  nextInt(bound: number): number;
+}
+
+const FLOAT_STEPS = 0x7fffffff;
+
+/** Creates a random source that gives the same numbers for the same seed. */
+export function createRandom(seed: number): RandomSource {
+  const generator = xoroshiro128plus(seed);
+  return {
+    nextFloat: () => uniformInt(generator, 0, FLOAT_STEPS - 1) / FLOAT_STEPS,
+    nextInt: bound => uniformInt(generator, 0, bound - 1),
+  };
+}
+
+/** Picks one item of a list that is not empty. */
+export function pickOne<T>(items: readonly T[], random: RandomSource): T {
+  return items[random.nextInt(items.length)]!;
+}
--- /dev/null
+++ b/packages/stand_ins/src/demo/main.ts
@@ -0,0 +1,141 @@
+/** The demonstration: a site on loopback and one call of each kind. */
+import {fileURLToPath} from 'node:url';
+import {createParser} from 'eventsource-parser';
+import {request} from 'undici';
+import {buildAnswerText} from '../engine/answer_text.js';
+import {startCluster} from './cluster.js';
+import type {Cluster} from './cluster.js';
+
+interface Step {
+  name: string;
+  run: (cluster: Cluster, address: string) => Promise<string>;
+}
+
+const examples = new URL('../../../../../examples/', import.meta.url);
+const API_KEY = 'clinic-network-example-key';
+
+const headers = {
+  authorization: `Bearer ${API_KEY}`,
+  'content-type': 'application/json',
+};
+
+function assertEqual(actual: unknown, expected: unknown, what: string): void {
+  if (actual !== expected) {
+    throw new DOMException(`${what}: ${actual}, expected ${expected}`);
+  }
+}
+
+async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
+  let text = '';
+  let hasTerminator = false;
+  const parser = createParser({
+    onEvent: event => {
+      if (event.data === '[DONE]') {
+        hasTerminator = true;
+        return;
+      }
+      const chunk = JSON.parse(event.data) as {
+        choices: Array<{delta: {content: string}}>;
+      };
+      text += chunk.choices[0]!.delta.content;
+    },
+  });
+  for await (const bytes of body) {
+    parser.feed(Buffer.from(bytes).toString('utf8'));
+  }
+  assertEqual(hasTerminator, true, 'terminator');
+  return text;
+}
+
+const steps: readonly Step[] = [
+  {
+    name: 'streamed chat',
+    run: async (_cluster, address) => {
+      const messages = [{role: 'user', content: 'Summarise drill 17.'}];
+      const body = {model: 'inspector', messages, max_tokens: 40, stream: true};
+      const response = await request(`http://${address}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {...headers, 'x-request-class': 'on-site'},
+        body: JSON.stringify(body),
+      });
+      assertEqual(response.statusCode, 200, 'status');
+      const text = await readText(response.body);
+      assertEqual(text, buildAnswerText(messages, 40), 'answer');
+      return `${text.split(' ').length - 1} tokens, whole`;
+    },
+  },
+  {
+    name: 'idempotent call',
+    run: async (_cluster, address) => {
+      const url = `http://${address}/v1/services/registry/logs`;
+      const body = JSON.stringify({reference: 'log-1'});
+      const response = await request(url, {method: 'POST', headers, body});
+      assertEqual(response.statusCode, 200, 'status');
+      await response.body.dump();
+      return 'stored';
+    },
+  },
+  {
+    name: 'non-idempotent call',
+    run: async (cluster, address) => {
+      const url = `http://${address}/v1/services/registry/certificates`;
+      const body = JSON.stringify({reference: 'certificate-1'});
+      const first = await request(url, {method: 'POST', headers, body});
+      assertEqual(first.statusCode, 428, 'status without a ticket');
+      await first.body.dump();
+      const ticket = String(first.headers['idempotency-ticket']);
+      for (let repeat = 0; repeat < 3; repeat++) {
+        const response = await request(url, {
+          method: 'POST',
+          headers: {...headers, 'idempotency-ticket': ticket},
+          body,
+        });
+        assertEqual(response.statusCode, 200, 'status with the ticket');
+        await response.body.dump();
+      }
+      const executions = cluster.services[0]!.countExecutions('certificate-1');
+      assertEqual(executions, 1, 'executions');
+      return 'sent 3 times, executed once';
+    },
+  },
+];
+
+async function runStep(step: Step, cluster: Cluster): Promise<boolean> {
+  const address = cluster.entries[0]!.instance.callerAddress;
+  try {
+    const result = await step.run(cluster, address);
+    process.stdout.write(`ok      ${step.name}: ${result}\n`);
+    return true;
+  } catch (error) {
+    process.stdout.write(`failed  ${step.name}: ${String(error)}\n`);
+    return false;
+  }
+}
+
+async function runDemo(): Promise<number> {
+  const isOnce = process.argv.includes('--once');
+  const cluster = await startCluster({
+    fileSetDirectory: fileURLToPath(new URL('tunis', examples)),
+  });
+  try {
+    process.stdout.write(
+      `started ${cluster.entries.length} entries before ${cluster.engines.size} engines\n`,
+    );
+    let isAllRight = true;
+    for (const step of steps) {
+      isAllRight = (await runStep(step, cluster)) && isAllRight;
+    }
+    if (!isOnce) {
+      const {callerAddress} = cluster.entries[0]!.instance;
+      process.stdout.write(
+        `serving at http://${callerAddress} with API key ${API_KEY}; stop with Ctrl-C\n`,
+      );
+      await new Promise(resolve => process.once('SIGINT', resolve));
+    }
+    return isAllRight ? 0 : 1;
+  } finally {
+    await cluster.stop();
+  }
+}
+
+process.exitCode = await runDemo();
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -0,0 +1,224 @@
+/**
+ * Stand-in for a model engine: continuous batching with a token rate that
+ * falls with load, priorities, cancel, resume from an offset, and a cold start
+ * during which it falls over under full load.
+ */
+import {H3} from 'h3';
+import {serveApp} from '../http_server.js';
+import {makeToken, planAnswer} from './answer_text.js';
+import type {AnswerPlan} from './answer_text.js';
+
+/** Options of {@link startEngine}. */
+export interface EngineOptions {
+  port?: number;
+  /** Tokens a second of one stream without other load. */
+  tokensPerSecond?: number;
+  /** Requests at which a stream's rate has halved. */
+  halfRateRequests?: number;
+  /** Requests that a warm engine runs at once; further ones wait. */
+  maximumRequests?: number;
+  /** Requests that a cold engine bears. */
+  coldRequests?: number;
+  /** Completed requests after which the engine is warm. */
+  warmAfterRequests?: number;
+  /** Time to the first token without load, in milliseconds. */
+  prefillMs?: number;
+}
+
+/** A running engine stand-in. */
+export interface EngineStandIn {
+  readonly address: string;
+  countRunning(): number;
+  /** Most requests that ran at once since the start. */
+  getPeakRunning(): number;
+  /** Times that the engine fell over because it was cold. */
+  countFalls(): number;
+  /** Requests that arrived, finished or not. */
+  countRequests(): number;
+  countTokens(): number;
+  /** Makes the engine cold, with or without breaking its streams. */
+  restart(breakStreams: boolean): void;
+  close(): Promise<void>;
+}
+
+interface Stream {
+  plan: AnswerPlan;
+  offset: number;
+  /** Tokens that are due but not yet whole. */
+  credit: number;
+  /** Time before which no token is made. */
+  startsAt: number;
+  priority: number;
+  controller: ReadableStreamDefaultController<Uint8Array>;
+}
+
+const defaults = {
+  tokensPerSecond: 100,
+  halfRateRequests: 16,
+  maximumRequests: 32,
+  coldRequests: 4,
+  warmAfterRequests: 20,
+  prefillMs: 20,
+};
+
+const TICK_MS = 5;
+const DEFAULT_ANSWER_TOKENS = 64;
+const encoder = new TextEncoder();
+
+/** Starts an engine on loopback. */
+export async function startEngine(
+  options: EngineOptions = {},
+): Promise<EngineStandIn> {
+  const config = {...defaults, ...options};
+  const running = new Set<Stream>();
+  const waiting: Stream[] = [];
+  let completed = 0;
+  let falls = 0;
+  let requests = 0;
+  let tokens = 0;
+  let peak = 0;
+  let tickedAt = performance.now();
+
+  function isCold(): boolean {
+    return completed < config.warmAfterRequests;
+  }
+
+  function startWaiting(): void {
+    waiting.sort((a, b) => a.priority - b.priority);
+    while (running.size < config.maximumRequests && waiting.length > 0) {
+      const stream = waiting.shift()!;
+      stream.startsAt = performance.now() + config.prefillMs;
+      running.add(stream);
+      peak = Math.max(peak, running.size);
+    }
+    if (isCold() && running.size > config.coldRequests) {
+      falls += 1;
+      breakStreams();
+    }
+  }
+
+  function breakStreams(): void {
+    completed = 0;
+    for (const stream of [...running, ...waiting.splice(0)]) {
+      stream.controller.error(new DOMException('engine fell over'));
+    }
+    running.clear();
+  }
+
+  function encodeToken(stream: Stream): Uint8Array {
+    const content = makeToken(stream.plan, stream.offset);
+    const isLast = stream.offset + 1 >= stream.plan.totalTokens;
+    const event = {
+      object: 'chat.completion.chunk',
+      offset: stream.offset,
+      tokens: 1,
+      choices: [
+        {index: 0, delta: {content}, finish_reason: isLast ? 'stop' : null},
+      ],
+    };
+    return encoder.encode(`data: ${JSON.stringify(event)}\n\n`);
+  }
+
+  function finishStream(stream: Stream): void {
+    running.delete(stream);
+    completed += 1;
+    stream.controller.enqueue(encoder.encode('data: [DONE]\n\n'));
+    stream.controller.close();
+  }
+
+  function advanceStream(stream: Stream, due: number): void {
+    stream.credit += due;
+    while (stream.credit >= 1 && stream.offset < stream.plan.totalTokens) {
+      stream.controller.enqueue(encodeToken(stream));
+      stream.offset += 1;
+      stream.credit -= 1;
+      tokens += 1;
+    }
+    if (stream.offset >= stream.plan.totalTokens) {
+      finishStream(stream);
+    }
+  }
+
+  function runTick(): void {
+    const now = performance.now();
+    const elapsedMs = now - tickedAt;
+    tickedAt = now;
+    const slowdown = 1 + running.size / config.halfRateRequests;
+    const due = (elapsedMs * config.tokensPerSecond) / 1000 / slowdown;
+    for (const stream of running) {
+      if (now >= stream.startsAt) {
+        advanceStream(stream, due);
+      }
+    }
+    startWaiting();
+  }
+
+  function removeStream(stream: Stream): void {
+    running.delete(stream);
+    const index = waiting.indexOf(stream);
+    if (index >= 0) {
+      waiting.splice(index, 1);
+    }
+  }
+
+  const app = new H3({silent: true});
+  app.post('/v1/chat/completions', async event => {
+    const body = (await event.req.json()) as {
+      messages: unknown;
+      max_tokens?: number;
+    };
+    requests += 1;
+    const plan = planAnswer(
+      body.messages,
+      body.max_tokens ?? DEFAULT_ANSWER_TOKENS,
+    );
+    let stream: Stream | undefined;
+    const answer = new ReadableStream<Uint8Array>({
+      start(controller) {
+        stream = {
+          plan,
+          offset: Number(event.req.headers.get('x-resume-offset') ?? 0),
+          credit: 0,
+          startsAt: 0,
+          priority: Number(event.req.headers.get('x-priority') ?? 1),
+          controller,
+        };
+        waiting.push(stream);
+        startWaiting();
+      },
+      cancel() {
+        removeStream(stream!);
+      },
+    });
+    return new Response(answer, {
+      headers: {'content-type': 'text/event-stream'},
+    });
+  });
+  app.get('/load', () => ({
+    running: running.size,
+    waiting: waiting.length,
+    completed,
+    tokens,
+  }));
+
+  const timer = setInterval(runTick, TICK_MS);
+  const server = await serveApp(app, config.port);
+  return {
+    address: server.address,
+    countRunning: () => running.size,
+    getPeakRunning: () => peak,
+    countFalls: () => falls,
+    countRequests: () => requests,
+    countTokens: () => tokens,
+    restart: shouldBreak => {
+      completed = 0;
+      if (shouldBreak) {
+        breakStreams();
+      }
+    },
+    close: () => {
+      clearInterval(timer);
+      return server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/index.ts
@@ -0,0 +1,13 @@
+/** Small stand-ins for what stands around the router, for tests and the demo. */
+export {startCluster} from './demo/cluster.js';
+export type {Cluster, ClusterOptions, EntryProcess} from './demo/cluster.js';
+export {buildAnswerText} from './engine/answer_text.js';
+export {startEngine} from './engine/engine.js';
+export type {EngineOptions, EngineStandIn} from './engine/engine.js';
+export {startPlainService} from './plain_service.js';
+export type {
+  PlainServiceOptions,
+  PlainServiceStandIn,
+} from './plain_service.js';
+export {PlatformMode, startPlatform} from './platform.js';
+export type {Platform, PlatformInstance, PlatformOptions} from './platform.js';
