--- a/packages/router/src/http/chat_route.ts
+++ b/packages/router/src/http/chat_route.ts
@@ -1,7 +1,8 @@
 /** POST /v1/chat/completions: streamed or whole. */
 import {randomUUID} from 'node:crypto';
 import {RouterError, toRouterError} from '@buckthornbeam/shared';
-import type {Entry, ChatRequest, AnswerChunk} from '../tasks/entry.js';
+import type {AnswerChunk, ChatRequest} from '../tasks/chat_request.js';
+import type {Entry} from '../tasks/entry.js';
 import {buildProblem, createProblemResponse} from './problem.js';
 
 const encoder = new TextEncoder();
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -107,8 +107,6 @@
     ticketKey: settings.ticketKey,
     clock,
     random,
-    logger,
-    metrics,
     clients,
     member,
     owner,
