--- /dev/null
+++ b/packages/decisions/src/running_set.ts
@@ -0,0 +1,95 @@
+/** The requests that run on one backend server. */
+import type {QueuedRequest} from './queued_request.js';
+
+interface RunningRequest {
+  request: QueuedRequest;
+  /** Runs for the minimum share of its class. */
+  isForMinimumShare: boolean;
+  /** Was told to stop and has not finished yet. */
+  isStopping: boolean;
+}
+
+/** The running requests in the order of their dispatch. */
+export interface RunningSet {
+  add(request: QueuedRequest, isForMinimumShare: boolean): void;
+  remove(attemptId: string): QueuedRequest | undefined;
+  count(): number;
+  /** Estimated work of all running requests, in tokens. */
+  countTokens(): number;
+  countStopping(): number;
+  /** Estimated work of the requests that are being stopped, in tokens. */
+  countStoppingTokens(): number;
+  /**
+   * Marks the request of the lowest tier below the given one as stopping; the
+   * youngest, since it has the least work behind it.
+   */
+  stopLowest(
+    tier: number,
+    withMinimumShare: boolean,
+  ): QueuedRequest | undefined;
+  /** Lowest priority that runs and is not being stopped; 0 if none. */
+  getLowestTier(): number;
+}
+
+/** Creates an empty set. */
+export function createRunningSet(): RunningSet {
+  const items = new Map<string, RunningRequest>();
+  let tokens = 0;
+  let stopping = 0;
+  let stoppingTokens = 0;
+
+  function findLowest(
+    tier: number,
+    withMinimumShare: boolean,
+  ): RunningRequest | undefined {
+    let lowest: RunningRequest | undefined;
+    for (const item of items.values()) {
+      const isProtected = item.isForMinimumShare && !withMinimumShare;
+      if (item.isStopping || isProtected || item.request.tier <= tier) {
+        continue;
+      }
+      if (!lowest || item.request.tier >= lowest.request.tier) {
+        lowest = item;
+      }
+    }
+    return lowest;
+  }
+
+  return {
+    add: (request, isForMinimumShare) => {
+      tokens += request.estimatedTokens;
+      items.set(request.attemptId, {
+        request,
+        isForMinimumShare,
+        isStopping: false,
+      });
+    },
+    remove: attemptId => {
+      const item = items.get(attemptId);
+      if (!item) {
+        return undefined;
+      }
+      items.delete(attemptId);
+      tokens -= item.request.estimatedTokens;
+      if (item.isStopping) {
+        stopping -= 1;
+        stoppingTokens -= item.request.estimatedTokens;
+      }
+      return item.request;
+    },
+    count: () => items.size,
+    countTokens: () => tokens,
+    countStopping: () => stopping,
+    countStoppingTokens: () => stoppingTokens,
+    stopLowest: (tier, withMinimumShare) => {
+      const item = findLowest(tier, withMinimumShare);
+      if (item) {
+        item.isStopping = true;
+        stopping += 1;
+        stoppingTokens += item.request.estimatedTokens;
+      }
+      return item?.request;
+    },
+    getLowestTier: () => findLowest(0, true)?.request.tier ?? 0,
+  };
+}
--- a/packages/decisions/src/server_queue.ts
+++ b/packages/decisions/src/server_queue.ts
@@ -3,38 +3,45 @@
  * count of running requests is exact and never passes the limit.
  */
 import type {ErrorCode} from '@buckthornbeam/shared';
-
-/** A request that waits for, or runs on, a backend server. */
-export interface QueuedRequest {
-  attemptId: string;
-  className: string;
-  customerId: string;
-  /** 1 is the highest priority. */
-  tier: number;
-  /** Time at which the class target is missed, in monotonic milliseconds. */
-  deadline: number;
-  /** Estimated work, in tokens. */
-  estimatedTokens: number;
-}
+import {createDispatchOrder} from './dispatch_order.js';
+import type {QueuedRequest} from './queued_request.js';
+import {createRunningSet} from './running_set.js';
 
 /** Messages to a queue. */
 export type QueueMessage =
   | {type: 'enqueue'; request: QueuedRequest}
-  | {type: 'finish'; attemptId: string}
+  /** `tokens` is the real work, where it is known. */
+  | {type: 'finish'; attemptId: string; tokens?: number}
   | {type: 'cancel'; attemptId: string}
-  | {type: 'set_limit'; limit: number};
+  | {type: 'set_limit'; limit: number}
+  /** Time has passed: an urgent request may need room. */
+  | {type: 'tick'}
+  /** Gives every waiting request back; running ones finish. */
+  | {type: 'drain'; code: ErrorCode};
 
 /** What the owner has to do after a message. */
 export type QueueAction =
   | {type: 'dispatch'; request: QueuedRequest}
-  | {type: 'refuse'; request: QueuedRequest; code: ErrorCode};
+  | {type: 'refuse'; request: QueuedRequest; code: ErrorCode}
+  /** Stop a running request; it holds its place until it has finished. */
+  | {type: 'preempt'; request: QueuedRequest};
 
 /** Options of {@link createServerQueue}. */
 export interface ServerQueueOptions {
   /** Requests that may run at once. */
   limit: number;
+  /** Tokens of running work for each request of the limit. */
+  tokensPerRequest?: number;
   /** Requests that may wait. */
   maximumQueued?: number;
+  /** Tokens of work that may wait; one request may always wait. */
+  maximumQueuedTokens?: number;
+  /** Time from a dispatch to its first token, in milliseconds. */
+  leadMs?: number;
+  /** Weight of a customer; 1 for all by default. */
+  getWeight?: (customerId: string) => number;
+  /** Least share of a class; none by default. */
+  getMinimumShare?: (className: string) => number;
 }
 
 /** The state of one server's queue. */
@@ -44,47 +51,140 @@
   readonly limit: number;
   countRunning(): number;
   countQueued(): number;
+  /** Work that waits, in tokens. */
+  countQueuedTokens(): number;
+  /** Lowest priority that waits or runs and is not being stopped; 0 if none. */
+  getLowestTier(): number;
 }
 
 const DEFAULT_MAXIMUM_QUEUED = 256;
-
-function compareUrgency(a: QueuedRequest, b: QueuedRequest): number {
-  return a.tier - b.tier || a.deadline - b.deadline;
-}
+const DEFAULT_LEAD_MS = 150;
 
 /** Creates an empty queue. */
 export function createServerQueue(options: ServerQueueOptions): ServerQueue {
-  const {maximumQueued = DEFAULT_MAXIMUM_QUEUED} = options;
+  const {
+    tokensPerRequest = Infinity,
+    maximumQueued = DEFAULT_MAXIMUM_QUEUED,
+    maximumQueuedTokens = Infinity,
+    leadMs = DEFAULT_LEAD_MS,
+    getWeight = () => 1,
+    getMinimumShare = () => 0,
+  } = options;
   let limit = options.limit;
+  let queuedTokens = 0;
   const waiting: QueuedRequest[] = [];
-  const running = new Map<string, QueuedRequest>();
+  const running = createRunningSet();
+  const order = createDispatchOrder({getWeight, getMinimumShare, leadMs});
+
+  /** A request larger than the token limit runs alone. */
+  function hasRoom(request: QueuedRequest): boolean {
+    if (running.count() >= limit) {
+      return false;
+    }
+    const tokens = running.countTokens() + request.estimatedTokens;
+    return running.count() === 0 || tokens <= tokensPerRequest * limit;
+  }
 
-  function dispatchWaiting(): QueueAction[] {
+  function removeWaiting(request: QueuedRequest): void {
+    waiting.splice(waiting.indexOf(request), 1);
+    queuedTokens -= request.estimatedTokens;
+  }
+
+  function dispatchWaiting(now: number): QueueAction[] {
     const actions: QueueAction[] = [];
-    while (running.size < limit && waiting.length > 0) {
-      const request = waiting.shift()!;
-      running.set(request.attemptId, request);
+    while (running.count() < limit) {
+      const choice = order.choose(waiting, now);
+      if (!choice || !hasRoom(choice.request)) {
+        break;
+      }
+      const {request, isForMinimumShare} = choice;
+      order.record(request, waiting);
+      removeWaiting(request);
+      running.add(request, isForMinimumShare);
       actions.push({type: 'dispatch', request});
     }
     return actions;
   }
 
-  function addWaiting(request: QueuedRequest): QueueAction[] {
-    waiting.push(request);
-    waiting.sort(compareUrgency);
-    const actions = dispatchWaiting();
-    if (waiting.length > maximumQueued) {
-      const last = waiting.pop()!;
-      actions.push({type: 'refuse', request: last, code: 'overloaded'});
+  /** Stops lower tiers for requests that would miss their target by waiting. */
+  function preemptForUrgent(now: number): QueueAction[] {
+    const actions: QueueAction[] = [];
+    // After a fall of the limit, places that come free are not given out.
+    const excess = Math.max(0, running.count() - limit);
+    let pending = running.countStopping() - excess;
+    for (const request of waiting) {
+      const isUrgent = request.deadline - now < 2 * leadMs;
+      if (!isUrgent || limit === 0) {
+        continue;
+      }
+      if (pending > 0) {
+        pending -= 1;
+        continue;
+      }
+      const victim = running.stopLowest(request.tier, false);
+      if (victim) {
+        actions.push({type: 'preempt', request: victim});
+      }
+    }
+    return actions;
+  }
+
+  /** Places and tokens of requests that are being stopped will come free. */
+  function isOverfull(): boolean {
+    const maximumCount = maximumQueued + running.countStopping();
+    const maximumTokens = maximumQueuedTokens + running.countStoppingTokens();
+    const isOverTokens = queuedTokens > maximumTokens && waiting.length > 1;
+    return waiting.length > maximumCount || isOverTokens;
+  }
+
+  /** The lowest tier; within it the one that is least likely to be in time. */
+  function findLeastImportant(now: number): QueuedRequest {
+    return waiting.reduce((worst, request) => {
+      const isLater =
+        Number(request.deadline < now) - Number(worst.deadline < now) ||
+        request.deadline - worst.deadline;
+      const difference = request.tier - worst.tier || isLater;
+      return difference > 0 ? request : worst;
+    });
+  }
+
+  /** Stops a lower tier before it refuses a higher one. */
+  function shedOverflow(now: number): QueueAction[] {
+    const actions: QueueAction[] = [];
+    while (isOverfull()) {
+      const request = findLeastImportant(now);
+      const victim = running.stopLowest(request.tier, true);
+      if (victim) {
+        actions.push({type: 'preempt', request: victim});
+        continue;
+      }
+      removeWaiting(request);
+      actions.push({type: 'refuse', request, code: 'overloaded'});
     }
     return actions;
   }
 
-  function removeWaiting(attemptId: string): void {
-    const index = waiting.findIndex(item => item.attemptId === attemptId);
-    if (index >= 0) {
-      waiting.splice(index, 1);
+  function advance(now: number): QueueAction[] {
+    return [
+      ...dispatchWaiting(now),
+      ...shedOverflow(now),
+      ...preemptForUrgent(now),
+    ];
+  }
+
+  function finishRunning(attemptId: string, tokens?: number): void {
+    const request = running.remove(attemptId);
+    if (request && tokens !== undefined) {
+      order.settle(request, tokens);
+    }
+  }
+
+  function cancelRequest(attemptId: string): void {
+    const request = waiting.find(item => item.attemptId === attemptId);
+    if (request) {
+      removeWaiting(request);
     }
+    finishRunning(attemptId);
   }
 
   const handlers: {
@@ -93,19 +193,30 @@
       now: number,
     ) => QueueAction[];
   } = {
-    enqueue: message => addWaiting(message.request),
-    finish: message => {
-      running.delete(message.attemptId);
-      return dispatchWaiting();
+    enqueue: ({request}, now) => {
+      waiting.push(request);
+      queuedTokens += request.estimatedTokens;
+      return advance(now);
+    },
+    finish: ({attemptId, tokens}, now) => {
+      finishRunning(attemptId, tokens);
+      return advance(now);
     },
-    cancel: message => {
-      removeWaiting(message.attemptId);
-      running.delete(message.attemptId);
-      return dispatchWaiting();
+    cancel: ({attemptId}, now) => {
+      cancelRequest(attemptId);
+      return advance(now);
     },
-    set_limit: message => {
+    set_limit: (message, now) => {
       limit = message.limit;
-      return dispatchWaiting();
+      return advance(now);
+    },
+    tick: (_message, now) => advance(now),
+    drain: ({code}) => {
+      limit = 0;
+      queuedTokens = 0;
+      return waiting
+        .splice(0)
+        .map(request => ({type: 'refuse', request, code}));
     },
   };
 
@@ -114,7 +225,13 @@
     get limit() {
       return limit;
     },
-    countRunning: () => running.size,
+    countRunning: () => running.count(),
     countQueued: () => waiting.length,
+    countQueuedTokens: () => queuedTokens,
+    getLowestTier: () =>
+      waiting.reduce(
+        (lowest, request) => Math.max(lowest, request.tier),
+        running.getLowestTier(),
+      ),
   };
 }
--- a/packages/decisions/src/token_bucket.ts
+++ b/packages/decisions/src/token_bucket.ts
@@ -14,11 +14,25 @@
   take(tokens: number, now: number): number;
   /** Corrects an earlier estimate; a negative number gives tokens back. */
   settle(tokens: number): void;
+  /** Changes the rate and the size from now on. */
+  resize(options: TokenBucketOptions, now: number): void;
+}
+
+/** Divides a customer's rate among the instances that admit requests. */
+export function splitRate(
+  rate: TokenBucketOptions,
+  instances: number,
+): TokenBucketOptions {
+  const parts = Math.max(1, instances);
+  return {
+    tokensPerSecond: rate.tokensPerSecond / parts,
+    burstTokens: rate.burstTokens / parts,
+  };
 }
 
 /** Creates a full bucket. */
 export function createTokenBucket(options: TokenBucketOptions): TokenBucket {
-  const {tokensPerSecond, burstTokens} = options;
+  let {tokensPerSecond, burstTokens} = options;
   let level = burstTokens;
   let refilledAt: number | undefined;
 
@@ -41,5 +55,10 @@
     settle: tokens => {
       level = Math.min(burstTokens, level - tokens);
     },
+    resize: (changed, now) => {
+      refill(now);
+      ({tokensPerSecond, burstTokens} = changed);
+      level = Math.min(level, burstTokens);
+    },
   };
 }
