feat(router): name the steps of a planned stop and the share of a server

A stop ran as one function, so that other parts could not add their own step. It is now a list of named steps which also tells what is still ahead. The owner takes getShare, which for now gives the whole limit to the computed owner.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -27,6 +27,7 @@
 import {createPeerClients} from './peer_clients.js';
 import {startPeerServer} from './peer_server.js';
 import type {PeerServer} from './peer_server.js';
+import {createStopSequence} from './stop_sequence.js';
 import {createEntry} from './tasks/entry.js';
 import {createIssuer} from './tasks/issuer.js';
 import {createMember} from './tasks/member.js';
@@ -46,6 +47,8 @@
   start(): Promise<{callerAddress: string; peerAddress: string}>;
   /** Stops gracefully: running requests finish first. */
   stop(): Promise<void>;
+  /** Describes what would be cut if the process ended now during a stop. */
+  listPending(): string[];
 }
 
 /** Creates an entry instance from its settings. */
@@ -94,6 +97,7 @@
     metrics,
     engines,
     isOwner: serverId => member.findOwner(serverId) === id,
+    getShare: (serverId, limit) => member.getShare(serverId, limit),
   });
   const issuer = createIssuer({
     identity,
@@ -149,6 +153,33 @@
     router.service(TicketService, {executeTicket});
   }
 
+  const stopSequence = createStopSequence({
+    logger,
+    steps: [
+      {
+        name: 'announce',
+        run: async () => {
+          isLeaving = true;
+        },
+      },
+      {
+        name: 'finish_callers',
+        run: async () => callerServer?.close(),
+      },
+      {
+        name: 'close_tasks',
+        run: async () => {
+          await watcher.stop();
+          member.stop();
+          await peerServer?.close();
+          await engines.close();
+          await issuer.stop();
+          await metrics.close();
+        },
+      },
+    ],
+  });
+
   return {
     start: async () => {
       peerServer = await startPeerServer(settings.peers, addPeerRoutes);
@@ -162,17 +193,7 @@
       logger.info('started', {...addresses, incarnation: identity.incarnation});
       return addresses;
     },
-    stop: async () => {
-      isLeaving = true;
-      logger.info('stopping');
-      await callerServer?.close();
-      await watcher.stop();
-      member.stop();
-      await peerServer?.close();
-      await engines.close();
-      await issuer.stop();
-      await metrics.close();
-      logger.info('stopped');
-    },
+    stop: () => stopSequence.run(),
+    listPending: () => stopSequence.listPending(),
   };
 }
--- a/packages/router/src/tasks/member.ts
+++ b/packages/router/src/tasks/member.ts
@@ -39,6 +39,8 @@
   handleHeartbeat(request: HeartbeatMessage): HeartbeatMessage;
   listPeers(): Peer[];
   findOwner(serverId: string): string | undefined;
+  /** How much of a server's limit this instance may use now; 0 for none. */
+  getShare(serverId: string, limit: number): number;
   findPeer(instanceId: string): Peer | undefined;
 }
 
@@ -147,6 +149,8 @@
     },
     listPeers: () => membership.listPeers(),
     findOwner: serverId => membership.findOwner(serverId),
+    getShare: (serverId, limit) =>
+      membership.findOwner(serverId) === identity.instanceId ? limit : 0,
     findPeer: instanceId =>
       membership.listPeers().find(peer => peer.id === instanceId),
   };
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -22,6 +22,11 @@
   engines: EngineClient;
   /** Whether this instance owns a server now. */
   isOwner: (serverId: string) => boolean;
+  /**
+   * How much of a limit of the server this instance may use now; 0 when it
+   * may start nothing there. To be read again at each dispatch.
+   */
+  getShare: (serverId: string, limit: number) => number;
 }
 
 /** The owner task. */
