feat(stand-ins): report generations and executions, hold them, list peers by reader

The cluster moves to packages/stand_ins/src/cluster so that tests, the demo and the fault matrix share it; startCluster keeps its options. Engine and plain service report events to a callback and can hold work at a step.

--- a/packages/stand_ins/src/demo/cluster.ts
+++ b/packages/stand_ins/src/cluster/cluster.ts
@@ -1,29 +1,17 @@
 /** A small site on loopback: stand-ins in this process, entries in their own. */
-import {spawn} from 'node:child_process';
-import type {ChildProcess} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {createRequire} from 'node:module';
+import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {dirname, join} from 'node:path';
-import {createInterface} from 'node:readline';
+import {join} from 'node:path';
 import {createFileSet, encodeBundle, loadFileSet} from '@buckthornbeam/config';
 import type {FileSet, SettingsFile} from '@buckthornbeam/config';
-import {waitFor} from '@buckthornbeam/shared';
-import {request} from 'undici';
 import {startEngine} from '../engine/engine.js';
 import type {EngineOptions, EngineStandIn} from '../engine/engine.js';
 import {startPlainService} from '../plain_service.js';
 import type {PlainServiceStandIn} from '../plain_service.js';
 import {startPlatform} from '../platform.js';
-import type {Platform, PlatformInstance} from '../platform.js';
-
-/** One entry instance in a process of its own. */
-export interface EntryProcess {
-  readonly instance: PlatformInstance;
-  readonly child: ChildProcess;
-  /** Log lines so far. */
-  readonly lines: string[];
-}
+import type {Platform} from '../platform.js';
+import {startEntry, stopEntry, waitUntilReady} from './entry_process.js';
+import type {EntryProcess} from './entry_process.js';
 
 /** Options of {@link startCluster}. */
 export interface ClusterOptions {
@@ -47,72 +35,14 @@
 }
 
 const DEFAULT_ENTRIES = 6;
-const READY_POLL_MS = 50;
-const READY_TIMEOUT_MS = 15_000;
-const TICKET_KEY = 'a-key-for-demonstrations-only-0001';
-
-function getCommandLinePath(): string {
-  const require = createRequire(import.meta.url);
-  return join(dirname(require.resolve('@buckthornbeam/cli')), 'main.js');
-}
-
-/** Waits for the `started` line and returns the addresses on it. */
-function waitForStart(
-  child: ChildProcess,
-  lines: string[],
-): Promise<{callerAddress: string; peerAddress: string}> {
-  return new Promise((resolve, reject) => {
-    child.once('exit', code =>
-      reject(new DOMException(`exit ${code}: ${lines.join('\n')}`)),
-    );
-    createInterface({input: child.stderr!}).on('line', line => {
-      lines.push(line);
-      const match = /event=started.*callerAddress=(\S+) peerAddress=(\S+)/.exec(
-        line,
-      );
-      if (match) {
-        resolve({callerAddress: match[1]!, peerAddress: match[2]!});
-      }
-    });
-  });
-}
-
-async function startEntry(
-  settings: SettingsFile,
-  directory: string,
-): Promise<EntryProcess> {
-  const path = join(directory, `${settings.instance.id}.json`);
-  writeFileSync(path, JSON.stringify(settings));
-  const child = spawn(
-    process.execPath,
-    [getCommandLinePath(), 'serve', '--settings', path],
-    {stdio: ['ignore', 'ignore', 'pipe']},
-  );
-  const lines: string[] = [];
-  const addresses = await waitForStart(child, lines);
-  return {
-    child,
-    lines,
-    instance: {...settings.instance, ...addresses, state: 'live'},
-  };
-}
-
-function stopEntry(entry: EntryProcess): Promise<void> {
-  return new Promise(resolve => {
-    if (entry.child.exitCode !== null || entry.child.signalCode !== null) {
-      resolve();
-      return;
-    }
-    entry.child.once('exit', () => resolve());
-    entry.child.kill('SIGTERM');
-  });
-}
+/** Key of the tickets of every site on loopback. */
+export const TICKET_KEY = 'a-key-for-demonstrations-only-0001';
 
 /** Replaces the addresses of a file set by those of the stand-ins. */
-function placeOnLoopback(
+export function placeOnLoopback(
   set: FileSet,
-  engines: ReadonlyMap<string, EngineStandIn>,
-  service: PlainServiceStandIn,
+  engines: ReadonlyMap<string, {address: string}>,
+  service: {address: string},
 ): FileSet {
   return createFileSet({
     ...set.files,
@@ -131,26 +61,6 @@
   });
 }
 
-async function countEntriesKnownTo(entry: EntryProcess): Promise<number> {
-  const {callerAddress} = entry.instance;
-  const response = await request(`http://${callerAddress}/v1/entries`);
-  const list = (await response.body.json()) as {entries: unknown[]};
-  return list.entries.length;
-}
-
-/** Waits until every entry names all entries. */
-async function waitUntilReady(entries: readonly EntryProcess[]): Promise<void> {
-  const endsAt = performance.now() + READY_TIMEOUT_MS;
-  while (performance.now() < endsAt) {
-    const counts = await Promise.all(entries.map(countEntriesKnownTo));
-    if (counts.every(count => count === entries.length)) {
-      return;
-    }
-    await waitFor(READY_POLL_MS);
-  }
-  throw new DOMException('the entries did not find each other');
-}
-
 /** Starts a site with the file set of a directory; returns once it is ready. */
 export async function startCluster(options: ClusterOptions): Promise<Cluster> {
   const published = loadFileSet(options.fileSetDirectory);
--- a/packages/stand_ins/src/demo/main.ts
+++ b/packages/stand_ins/src/demo/main.ts
@@ -2,9 +2,9 @@
 import {fileURLToPath} from 'node:url';
 import {createParser} from 'eventsource-parser';
 import {request} from 'undici';
+import {startCluster} from '../cluster/cluster.js';
+import type {Cluster} from '../cluster/cluster.js';
 import {buildAnswerText} from '../engine/answer_text.js';
-import {startCluster} from './cluster.js';
-import type {Cluster} from './cluster.js';
 
 interface Step {
   name: string;
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -8,6 +8,31 @@
 import {makeToken, planAnswer} from './answer_text.js';
 import type {AnswerPlan} from './answer_text.js';
 
+/** What happened to one generation. */
+export const EngineEventKind = {
+  ARRIVED: 'arrived',
+  FIRST_TOKEN: 'first_token',
+  HELD: 'held',
+  FINISHED: 'finished',
+  CANCELLED: 'cancelled',
+  /** The engine was cold, had too many requests and broke them all. */
+  FELL: 'fell',
+} as const;
+export type EngineEventKind =
+  (typeof EngineEventKind)[keyof typeof EngineEventKind];
+
+/** An event of a generation. */
+export interface EngineEvent {
+  kind: EngineEventKind;
+  requestId: string;
+  attemptId: string;
+  tier: number;
+  offset: number;
+  /** Requests at the engine, this one included. */
+  running: number;
+  isCold: boolean;
+}
+
 /** Options of {@link startEngine}. */
 export interface EngineOptions {
   port?: number;
@@ -23,6 +48,8 @@
   warmAfterRequests?: number;
   /** Time to the first token without load, in milliseconds. */
   prefillMs?: number;
+  /** Takes the events of all generations. */
+  onEvent?: (event: EngineEvent) => void;
 }
 
 /** A running engine stand-in. */
@@ -38,10 +65,16 @@
   countTokens(): number;
   /** Makes the engine cold, with or without breaking its streams. */
   restart(breakStreams: boolean): void;
+  /** Holds every stream before the token at this offset; null releases. */
+  setHold(offset: number | null): void;
+  /** Changes the speed of streams, in tokens a second. */
+  setSpeed(tokensPerSecond: number): void;
   close(): Promise<void>;
 }
 
 interface Stream {
+  requestId: string;
+  attemptId: string;
   plan: AnswerPlan;
   offset: number;
   /** Tokens that are due but not yet whole. */
@@ -59,6 +92,7 @@
   coldRequests: 4,
   warmAfterRequests: 20,
   prefillMs: 20,
+  onEvent: () => {},
 };
 
 const TICK_MS = 5;
@@ -72,12 +106,28 @@
   const config = {...defaults, ...options};
   const running = new Set<Stream>();
   const waiting: Stream[] = [];
+  const held = new WeakSet<Stream>();
   let completed = 0;
   let falls = 0;
   let requests = 0;
   let tokens = 0;
   let peak = 0;
   let tickedAt = performance.now();
+  let holdOffset: number | null = null;
+  let speed = config.tokensPerSecond;
+
+  function reportEvent(kind: EngineEventKind, stream: Stream): void {
+    const {requestId, attemptId, priority: tier, offset} = stream;
+    config.onEvent({
+      kind,
+      requestId,
+      attemptId,
+      tier,
+      offset,
+      running: running.size + waiting.length,
+      isCold: isCold(),
+    });
+  }
 
   function isCold(): boolean {
     return completed < config.warmAfterRequests;
@@ -93,6 +143,7 @@
     }
     if (isCold() && running.size > config.coldRequests) {
       falls += 1;
+      reportEvent(EngineEventKind.FELL, [...running][0]!);
       breakStreams();
     }
   }
@@ -122,15 +173,31 @@
   function finishStream(stream: Stream): void {
     running.delete(stream);
     completed += 1;
+    reportEvent(EngineEventKind.FINISHED, stream);
     stream.controller.enqueue(encoder.encode('data: [DONE]\n\n'));
     stream.controller.close();
   }
 
+  function reportHeld(stream: Stream): void {
+    if (!held.has(stream)) {
+      held.add(stream);
+      reportEvent(EngineEventKind.HELD, stream);
+    }
+  }
+
   function advanceStream(stream: Stream, due: number): void {
     stream.credit += due;
     while (stream.credit >= 1 && stream.offset < stream.plan.totalTokens) {
+      if (stream.offset === holdOffset) {
+        stream.credit = 0;
+        reportHeld(stream);
+        return;
+      }
       stream.controller.enqueue(encodeToken(stream));
       stream.offset += 1;
+      if (stream.offset === 1) {
+        reportEvent(EngineEventKind.FIRST_TOKEN, stream);
+      }
       stream.credit -= 1;
       tokens += 1;
     }
@@ -144,7 +211,7 @@
     const elapsedMs = now - tickedAt;
     tickedAt = now;
     const slowdown = 1 + running.size / config.halfRateRequests;
-    const due = (elapsedMs * config.tokensPerSecond) / 1000 / slowdown;
+    const due = (elapsedMs * speed) / 1000 / slowdown;
     for (const stream of running) {
       if (now >= stream.startsAt) {
         advanceStream(stream, due);
@@ -176,6 +243,8 @@
     const answer = new ReadableStream<Uint8Array>({
       start(controller) {
         stream = {
+          requestId: event.req.headers.get('x-request-id') ?? '',
+          attemptId: event.req.headers.get('x-attempt-id') ?? '',
           plan,
           offset: Number(event.req.headers.get('x-resume-offset') ?? 0),
           credit: 0,
@@ -184,10 +253,12 @@
           controller,
         };
         waiting.push(stream);
+        reportEvent(EngineEventKind.ARRIVED, stream);
         startWaiting();
       },
       cancel() {
         removeStream(stream!);
+        reportEvent(EngineEventKind.CANCELLED, stream!);
       },
     });
     return new Response(answer, {
@@ -216,6 +287,12 @@
         breakStreams();
       }
     },
+    setHold: offset => {
+      holdOffset = offset;
+    },
+    setSpeed: tokensPerSecond => {
+      speed = tokensPerSecond;
+    },
     close: () => {
       clearInterval(timer);
       return server.close();
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,6 +1,7 @@
 /** Small stand-ins for what stands around the router, for tests and the demo. */
-export {startCluster} from './demo/cluster.js';
-export type {Cluster, ClusterOptions, EntryProcess} from './demo/cluster.js';
+export {startCluster} from './cluster/cluster.js';
+export type {Cluster, ClusterOptions} from './cluster/cluster.js';
+export type {EntryProcess} from './cluster/entry_process.js';
 export {buildAnswerText} from './engine/answer_text.js';
 export {startEngine} from './engine/engine.js';
 export type {EngineOptions, EngineStandIn} from './engine/engine.js';
--- a/packages/stand_ins/src/plain_service.ts
+++ b/packages/stand_ins/src/plain_service.ts
@@ -7,6 +7,8 @@
   port?: number;
   /** Time that one call takes, in milliseconds. */
   callMs?: number;
+  /** Takes the reference of each execution when it begins. */
+  onExecution?: (reference: string) => void;
 }
 
 /** A running plain service. */
@@ -15,6 +17,8 @@
   /** Executions by the `reference` field of the body. */
   countExecutions(reference: string): number;
   countAllExecutions(): number;
+  /** Holds the answers of executed calls back until it is released. */
+  setHold(isHeld: boolean): void;
   close(): Promise<void>;
 }
 
@@ -27,6 +31,8 @@
   const {callMs = DEFAULT_CALL_MS} = options;
   const executions = new Map<string, number>();
   let total = 0;
+  let release: (() => void) | undefined;
+  let hold = Promise.resolve();
   const app = new H3({silent: true});
   app.all('/**', async event => {
     const text = await event.req.text();
@@ -36,6 +42,8 @@
     const count = (executions.get(reference) ?? 0) + 1;
     executions.set(reference, count);
     total += 1;
+    options.onExecution?.(reference);
+    await hold;
     await new Promise(resolve => setTimeout(resolve, callMs));
     return Response.json({reference, execution: total});
   });
@@ -44,6 +52,14 @@
     address: server.address,
     countExecutions: reference => executions.get(reference) ?? 0,
     countAllExecutions: () => total,
+    setHold: isHeld => {
+      release?.();
+      hold = isHeld
+        ? new Promise(resolve => {
+            release = resolve;
+          })
+        : Promise.resolve();
+    },
     close: () => server.close(),
   };
 }
--- a/packages/stand_ins/src/platform.ts
+++ b/packages/stand_ins/src/platform.ts
@@ -25,6 +25,8 @@
   callerAddress: string;
   peerAddress: string;
   state: 'live' | 'leaving';
+  /** Peer address by the service name that is read, where it differs. */
+  peerAddresses?: Record<string, string>;
 }
 
 /** Options of {@link startPlatform}. */
@@ -52,9 +54,9 @@
 
 const DEFAULT_CALLS_PER_SECOND = 2000;
 const KEY_PATH = '/v1/kv/buckthornbeam/file-set';
-const INSTANCES_PATH = '/v1/health/service/buckthornbeam';
+const INSTANCES_PATH = '/v1/health/service/:service';
 
-function toHealthEntry(instance: PlatformInstance) {
+function toHealthEntry(instance: PlatformInstance, service: string) {
   const [host = '', port = '0'] = instance.callerAddress.split(':');
   return {
     Service: {
@@ -63,7 +65,7 @@
       Port: Number(port),
       Meta: {
         dataCentre: instance.dataCentre,
-        peerAddress: instance.peerAddress,
+        peerAddress: instance.peerAddresses?.[service] ?? instance.peerAddress,
         state: instance.state,
       },
     },
@@ -172,7 +174,10 @@
     answerRead(
       event,
       () => getContents().instances,
-      value => value.map(toHealthEntry),
+      value =>
+        value.map(instance =>
+          toHealthEntry(instance, event.context.params!['service']!),
+        ),
     ),
   );
 
