--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -7,7 +7,12 @@
 export {LogLevel, createLogger, formatFields} from './logs.js';
 export type {LogFields, LogValue, Logger, LoggerOptions} from './logs.js';
 export {createMailbox} from './mailbox.js';
-export type {Mailbox, MessageHandlers, TaskMessage} from './mailbox.js';
+export type {
+  Mailbox,
+  MailboxOptions,
+  MessageHandlers,
+  TaskMessage,
+} from './mailbox.js';
 export {createMetrics} from './metrics.js';
 export type {MetricTags, Metrics, MetricsOptions} from './metrics.js';
 export {Outcome} from './outcomes.js';
