feat(router): owned servers with warm-up, shares, preemption and give-back

A server that was taken out lost its queue with all waiting callers, the whole data centre's state was not looked at, every server had its full limit at once, and a cancelled stream freed its place before the engine had seen the cancel.

- owner.ts split: owned_server (queue, limit, speed), attempt_run, load_reports
- effective limit min(warm-up limit, getShare), read at each step; a smaller share kills nothing and starts nothing until below it
- queued work of a lost or taken-out server fails as not_run and is placed elsewhere; a refusal for load tries the other servers, preempted work goes on from its offset and counts as no failure
- placement from owners' summaries (wait, speed, phase, lowest tier), sent requests counted, stragglers, prefix table
- customer rates divided by instances, estimates corrected by real lengths
- policies independent and quota as baselines

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -13,6 +13,8 @@
 } from './output_estimator.js';
 export {computeRelativeLoad, placeRequest} from './placement.js';
 export type {PlacementCandidate, PlacementRequest} from './placement.js';
+export {createPrefixTable} from './prefix_table.js';
+export type {PrefixTable, Prompt} from './prefix_table.js';
 export type {QueuedRequest} from './queued_request.js';
 export {createRetryBudget} from './retry_budget.js';
 export type {RetryBudget} from './retry_budget.js';
--- a/packages/decisions/src/server_limit.ts
+++ b/packages/decisions/src/server_limit.ts
@@ -147,7 +147,14 @@
     },
     drain: () => applyEvent('DRAIN'),
     idle: () => applyEvent('IDLE'),
-    return: () => resetToCold('RETURNED'),
+    return: () => {
+      if (phase !== 'draining' && phase !== 'out') {
+        return;
+      }
+      resetToCold('RETURNED');
+      // The next report tells whether the server is still warm.
+      lastReport = undefined;
+    },
   };
 
   return {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -11,6 +11,14 @@
   limit: number;
   inFlight: number;
   queued: number;
+  /** Wait before a dispatch that the owner expects, in milliseconds. */
+  expectedWaitMs: number;
+  /** Recent time for each token of one stream, in milliseconds; 0 if unknown. */
+  msPerToken: number;
+  /** Phase of the server's state chart. */
+  phase: string;
+  /** Lowest priority that is queued or runs; 0 if none. */
+  lowestTier: number;
 }
 
 /** What a heartbeat says about its sender. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -28,6 +28,7 @@
 import {startPeerServer} from './peer_server.js';
 import type {PeerServer} from './peer_server.js';
 import {createStopSequence} from './stop_sequence.js';
+import {createDispatchPolicy} from './tasks/dispatch_policy.js';
 import {createEntry} from './tasks/entry.js';
 import {createIssuer} from './tasks/issuer.js';
 import {createMember} from './tasks/member.js';
@@ -90,14 +91,19 @@
     onBundle: (bundle, source) =>
       watcher.post({type: 'bundle', bundle, source}),
   });
+  const policy = createDispatchPolicy({
+    policy: settings.policy,
+    instanceId: id,
+    member,
+  });
   const owner = createOwner({
     settings,
     clock,
     logger,
     metrics,
     engines,
-    isOwner: serverId => member.findOwner(serverId) === id,
-    getShare: (serverId, limit) => member.getShare(serverId, limit),
+    isOwner: serverId => policy.findOwner(serverId) === id,
+    getShare: (serverId, limit) => policy.getShare(serverId, limit),
   });
   const issuer = createIssuer({
     identity,
@@ -113,6 +119,7 @@
     random,
     clients,
     member,
+    policy,
     owner,
     issuer,
     findFileSet,
@@ -171,6 +178,7 @@
         run: async () => {
           await watcher.stop();
           member.stop();
+          owner.stop();
           await peerServer?.close();
           await engines.close();
           await issuer.stop();
@@ -186,6 +194,7 @@
       callerServer = await startCallerServer(entry, settings);
       watcher.start();
       member.start();
+      owner.start();
       const addresses = {
         callerAddress: callerServer.address,
         peerAddress: peerServer.address,
--- a/packages/router/src/tasks/admission.ts
+++ b/packages/router/src/tasks/admission.ts
@@ -1,6 +1,10 @@
 /** Admission: checks a request against the file set and the customer's rate. */
-import type {FileSet, RequestClass} from '@buckthornbeam/config';
-import {createTokenBucket} from '@buckthornbeam/decisions';
+import type {Customer, FileSet, RequestClass} from '@buckthornbeam/config';
+import {
+  createOutputEstimator,
+  createTokenBucket,
+  splitRate,
+} from '@buckthornbeam/decisions';
 import type {TokenBucket} from '@buckthornbeam/decisions';
 import {RouterError} from '@buckthornbeam/shared';
 import type {Clock} from '@buckthornbeam/shared';
@@ -13,37 +17,53 @@
   requestClass: RequestClass;
   /** Estimated work, prompt and answer, in tokens. */
   estimatedTokens: number;
+  /** Tokens of the prompt in that estimate. */
+  promptTokens: number;
 }
 
 /** Options of {@link createAdmission}. */
 export interface AdmissionOptions {
   clock: Clock;
   getFileSet: () => FileSet;
+  /** Instances that admit requests and share the customers' rates. */
+  countInstances: () => number;
 }
 
 /** Lets requests in or throws a {@link RouterError} with outcome `not_run`. */
 export interface Admission {
   getCustomerId(apiKeyDigest: string): string;
   accept(customerId: string, request: ChatRequest): AdmittedRequest;
+  /**
+   * Corrects the customer's account by the answer's real length; only a whole
+   * answer counts for later estimates.
+   */
+  settle(
+    admitted: AdmittedRequest,
+    outputTokens: number,
+    isComplete: boolean,
+  ): void;
+}
+
+interface CustomerBucket {
+  bucket: TokenBucket;
+  /** What the size was computed from. */
+  customer: Customer;
+  instances: number;
 }
 
 /** Characters of a prompt that make one token, for estimates. */
 const CHARACTERS_PER_TOKEN = 4;
 
-function estimateTokens(request: ChatRequest, maximumOutput: number): number {
+function estimatePrompt(request: ChatRequest): number {
   const characters = JSON.stringify(request.body['messages']).length;
-  const prompt = Math.ceil(characters / CHARACTERS_PER_TOKEN);
-  const output = Math.min(
-    request.maximumTokens ?? maximumOutput,
-    maximumOutput,
-  );
-  return prompt + output;
+  return Math.ceil(characters / CHARACTERS_PER_TOKEN);
 }
 
 /** Creates the admission of one instance. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const {clock, getFileSet} = options;
-  const buckets = new Map<string, TokenBucket>();
+  const {clock, getFileSet, countInstances} = options;
+  const buckets = new Map<string, CustomerBucket>();
+  const outputs = createOutputEstimator();
 
   function getClass(name: string): RequestClass {
     const found = getFileSet().classes.get(name);
@@ -53,12 +73,37 @@
     return found;
   }
 
+  function createBucket(customer: Customer): CustomerBucket {
+    const instances = countInstances();
+    const bucket = createTokenBucket(splitRate(customer, instances));
+    return {bucket, customer, instances};
+  }
+
+  /** Returns the customer's bucket at the present rate and division. */
+  function getBucket(customerId: string): TokenBucket {
+    const customer = getFileSet().customers.get(customerId)!;
+    const known = buckets.get(customerId) ?? createBucket(customer);
+    buckets.set(customerId, known);
+    const instances = countInstances();
+    if (known.customer !== customer || known.instances !== instances) {
+      known.bucket.resize(splitRate(customer, instances), clock.now());
+      known.customer = customer;
+      known.instances = instances;
+    }
+    return known.bucket;
+  }
+
+  function estimateOutput(
+    customerId: string,
+    {className, model, maximumTokens = Infinity}: ChatRequest,
+    {maximumOutputTokens}: RequestClass,
+  ): number {
+    const maximum = Math.min(maximumTokens, maximumOutputTokens);
+    return outputs.estimate({className, customerId, model}, maximum);
+  }
+
   function takeCustomerTokens(customerId: string, tokens: number): void {
-    const customer = getFileSet().files['customers.json'].customers.find(
-      item => item.id === customerId,
-    )!;
-    const bucket = buckets.get(customerId) ?? createTokenBucket(customer);
-    buckets.set(customerId, bucket);
+    const bucket = getBucket(customerId);
     const waitMs = bucket.take(tokens, clock.now());
     if (waitMs > 0) {
       throw new RouterError(
@@ -82,12 +127,28 @@
       if (!getFileSet().models.has(request.model)) {
         throw new RouterError('unknown_model', `no model "${request.model}"`);
       }
-      const estimatedTokens = estimateTokens(
-        request,
-        requestClass.maximumOutputTokens,
-      );
+      const promptTokens = estimatePrompt(request);
+      const outputTokens = estimateOutput(customerId, request, requestClass);
+      const estimatedTokens = promptTokens + outputTokens;
       takeCustomerTokens(customerId, estimatedTokens);
-      return {request, customerId, requestClass, estimatedTokens};
+      return {
+        request,
+        customerId,
+        requestClass,
+        estimatedTokens,
+        promptTokens,
+      };
+    },
+    settle: (admitted, outputTokens, isComplete) => {
+      const {customerId, request, estimatedTokens, promptTokens} = admitted;
+      const {className, model} = request;
+      if (getFileSet().customers.has(customerId)) {
+        const used = promptTokens + outputTokens;
+        getBucket(customerId).settle(used - estimatedTokens);
+      }
+      if (isComplete) {
+        outputs.observe({className, customerId, model}, outputTokens);
+      }
     },
   };
 }
--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -6,10 +6,13 @@
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
 import {createAdmission} from './admission.js';
+import type {AdmittedRequest} from './admission.js';
 import type {AnswerChunk, ChatRequest} from './chat_request.js';
+import type {DispatchPolicy} from './dispatch_policy.js';
 import {listEntries} from './entry_list.js';
 import type {EntryList} from './entry_list.js';
 import type {Issuer, ServiceCall} from './issuer.js';
+import {listKnownLoads} from './known_loads.js';
 import type {Member} from './member.js';
 import type {Owner} from './owner.js';
 import {createPlacer} from './placer.js';
@@ -28,6 +31,7 @@
   random: RandomSource;
   clients: PeerClients;
   member: Member;
+  policy: DispatchPolicy;
   owner: Owner;
   issuer: Issuer;
   findFileSet: () => FileSet | undefined;
@@ -57,7 +61,8 @@
 
 /** Creates the entry task. */
 export function createEntry(options: EntryOptions): Entry {
-  const {identity, clock, random, clients, member, owner, issuer} = options;
+  const {identity, clock, random, clients, member, policy, owner, issuer} =
+    options;
 
   function getFileSet(): FileSet {
     const set = options.findFileSet();
@@ -67,16 +72,37 @@
     return set;
   }
 
-  const admission = createAdmission({clock, getFileSet});
+  const admission = createAdmission({
+    clock,
+    getFileSet,
+    countInstances: () => member.listPeers().length + 1,
+  });
   const placer = createPlacer({
     random,
+    clock,
     getFileSet,
-    listLoads: () => [
-      ...owner.listLoads(),
-      ...member.listPeers().flatMap(peer => peer.loads),
-    ],
+    listLoads: () => listKnownLoads({clock, policy, owner, member}),
   });
-  const relay = createRelay({identity, clients, member, owner, placer});
+  const relay = createRelay({identity, clients, member, owner, placer, policy});
+
+  /** Relays an answer and settles the customer's account by its length. */
+  async function* relayAdmitted(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<AnswerChunk> {
+    let outputTokens = 0;
+    let isComplete = false;
+    try {
+      for await (const chunk of relay.relay(admitted, signal)) {
+        outputTokens += chunk.tokens;
+        yield chunk;
+      }
+      isComplete = admitted.request.resumeOffset === 0;
+    } finally {
+      admission.settle(admitted, outputTokens, isComplete);
+    }
+  }
+
   const ticketCalls = createTicketCalls({
     identity,
     ticketKey: options.ticketKey,
@@ -88,7 +114,7 @@
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
-      yield* relay.relay(admission.accept(customerId, request), signal);
+      yield* relayAdmitted(admission.accept(customerId, request), signal);
     },
     getServiceRoute: (name, method, path) => {
       const service = getFileSet().services.get(name);
--- a/packages/router/src/tasks/member.ts
+++ b/packages/router/src/tasks/member.ts
@@ -59,6 +59,10 @@
       limit: summary.limit,
       inFlight: summary.inFlight,
       queued: summary.queued,
+      expectedWaitMs: summary.expectedWaitMs,
+      msPerToken: summary.msPerToken,
+      phase: summary.phase,
+      lowestTier: summary.lowestTier,
     })),
   };
 }
--- /dev/null
+++ b/packages/router/src/tasks/owned_server.ts
@@ -0,0 +1,110 @@
+/** One backend server as its owner keeps it: queue, limit and speed. */
+import type {BackendServer, FileSet} from '@buckthornbeam/config';
+import {createServerLimit, createServerQueue} from '@buckthornbeam/decisions';
+import type {
+  LimitMessage,
+  QueueAction,
+  QueueMessage,
+} from '@buckthornbeam/decisions';
+import type {ServerLoad} from '@buckthornbeam/membership';
+import type {Logger} from '@buckthornbeam/shared';
+
+/** Options of {@link createOwnedServer}. */
+export interface OwnedServerOptions {
+  server: BackendServer;
+  maximumQueuedRequests: number;
+  logger: Logger;
+  getFileSet: () => FileSet;
+  /** Part of a limit that this instance may use now. */
+  getShare: (serverId: string, limit: number) => number;
+}
+
+/** State of an owned server; its methods return what has to be done. */
+export interface OwnedServer {
+  server: BackendServer;
+  /** Applies a message to the queue, under the limit of this moment. */
+  stepQueue(message: QueueMessage, now: number): QueueAction[];
+  /** Applies what happened at the server to its limit. */
+  stepLimit(message: LimitMessage): void;
+  /** Takes the speed of one whole answer, in milliseconds for each token. */
+  observeSpeed(msPerToken: number): void;
+  describeLoad(): ServerLoad;
+  countRunning(): number;
+}
+
+/** Weight of the newest answer in the average speed. */
+const SPEED_GAIN = 0.2;
+/** Work that may wait, as a multiple of the work that may run. */
+const QUEUED_WORK_FACTOR = 8;
+
+/** Creates the state of a server that has just been met. */
+export function createOwnedServer(options: OwnedServerOptions): OwnedServer {
+  const {server, logger, getFileSet, getShare} = options;
+  const {capacity} = server;
+  const serverLimit = createServerLimit({
+    startingRequests: capacity.startingRequests,
+    maximumRequests: capacity.requests,
+  });
+  const queue = createServerQueue({
+    limit: 0,
+    tokensPerRequest: capacity.tokens / capacity.requests,
+    maximumQueued: options.maximumQueuedRequests,
+    maximumQueuedTokens: capacity.tokens * QUEUED_WORK_FACTOR,
+    getWeight: id => getFileSet().customers.get(id)?.weight ?? 1,
+    getMinimumShare: name => getFileSet().classes.get(name)?.minimumShare ?? 0,
+  });
+  let msPerToken = 0;
+
+  function computeLimit(): number {
+    const {limit} = serverLimit;
+    return Math.min(limit, getShare(server.id, limit));
+  }
+
+  function estimateWaitMs(): number {
+    const limit = computeLimit();
+    if (queue.countQueued() === 0 && queue.countRunning() < limit) {
+      return 0;
+    }
+    return (queue.countQueuedTokens() * msPerToken) / Math.max(1, limit);
+  }
+
+  return {
+    server,
+    stepQueue: (message, now) => {
+      const limit = computeLimit();
+      const isChanged = limit !== queue.limit && message.type !== 'drain';
+      return [
+        ...(isChanged ? queue.step({type: 'set_limit', limit}, now) : []),
+        ...queue.step(message, now),
+      ];
+    },
+    stepLimit: message => {
+      const {phase} = serverLimit;
+      serverLimit.step(message);
+      if (serverLimit.phase !== phase) {
+        logger.info('server_phase', {
+          server: server.id,
+          from: phase,
+          to: serverLimit.phase,
+          cause: message.type,
+          limit: serverLimit.limit,
+        });
+      }
+    },
+    observeSpeed: sample => {
+      const gain = msPerToken === 0 ? 1 : SPEED_GAIN;
+      msPerToken += gain * (sample - msPerToken);
+    },
+    describeLoad: () => ({
+      serverId: server.id,
+      limit: computeLimit(),
+      inFlight: queue.countRunning(),
+      queued: queue.countQueued(),
+      expectedWaitMs: estimateWaitMs(),
+      msPerToken,
+      phase: serverLimit.phase,
+      lowestTier: queue.getLowestTier(),
+    }),
+    countRunning: () => queue.countRunning(),
+  };
+}
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -1,17 +1,25 @@
 /** The owner task: sole dispatcher to the backend servers that it owns. */
-import {create} from '@bufbuild/protobuf';
-import {ServiceState} from '@buckthornbeam/config';
 import type {BackendServer, FileSet, Settings} from '@buckthornbeam/config';
-import {createServerQueue} from '@buckthornbeam/decisions';
-import type {QueueAction, ServerQueue} from '@buckthornbeam/decisions';
+import type {QueueAction, QueueMessage} from '@buckthornbeam/decisions';
 import type {ServerLoad} from '@buckthornbeam/membership';
-import {DispatchEventSchema} from '@buckthornbeam/protocol';
 import type {DispatchEvent, DispatchRequest} from '@buckthornbeam/protocol';
-import {Outcome, RouterError, toRouterError} from '@buckthornbeam/shared';
-import type {Clock, Logger, Metrics} from '@buckthornbeam/shared';
+import {
+  Outcome,
+  RouterError,
+  toRouterError,
+  waitFor,
+} from '@buckthornbeam/shared';
+import type {Clock, ErrorCode, Logger, Metrics} from '@buckthornbeam/shared';
 import {createChannel} from '../channel.js';
-import type {Channel} from '../channel.js';
 import type {EngineClient} from '../engine_client.js';
+import {runAttempt} from './attempt_run.js';
+import type {Attempt, AttemptReport} from './attempt_run.js';
+import {makeFailure} from './dispatch_events.js';
+import {createLoadReports} from './load_reports.js';
+import type {LoadReport} from './load_reports.js';
+import {createOwnedServer} from './owned_server.js';
+import type {OwnedServer} from './owned_server.js';
+import {isInService} from './placer.js';
 
 /** Options of {@link createOwner}. */
 export interface OwnerOptions {
@@ -24,13 +32,15 @@
   isOwner: (serverId: string) => boolean;
   /**
    * How much of a limit of the server this instance may use now; 0 when it
-   * may start nothing there. To be read again at each dispatch.
+   * may start nothing there. Read again at each step of a queue.
    */
   getShare: (serverId: string, limit: number) => number;
 }
 
 /** The owner task. */
 export interface Owner {
+  start(): void;
+  stop(): void;
   /** Dispatches a request; the last event is `completed` or `failed`. */
   dispatch(
     request: DispatchRequest,
@@ -38,219 +48,278 @@
   ): AsyncIterable<DispatchEvent>;
   applyFileSet(set: FileSet): void;
   listLoads(): ServerLoad[];
+  /** Loads as the engines reported them last, for the baselines. */
+  listEngineLoads(): ServerLoad[];
 }
 
-interface OwnedServer {
-  server: BackendServer;
-  queue: ServerQueue;
-}
-
-interface Attempt {
-  request: DispatchRequest;
-  events: Channel<DispatchEvent>;
-  signal: AbortSignal;
-  /** Offset behind the last token that was passed on. */
-  offset: number;
-}
-
-type EventBody = NonNullable<DispatchEvent['event']['case']>;
-type EventValue<C extends EventBody> = Extract<
-  DispatchEvent['event'],
-  {case: C}
->['value'];
-type EventInit<C extends EventBody> = Partial<
-  Omit<EventValue<C>, '$typeName' | '$unknown'>
->;
-
-function makeEvent<C extends EventBody>(
-  attemptId: string,
-  name: C,
-  value: EventInit<C>,
-): DispatchEvent {
-  return create(DispatchEventSchema, {
-    attemptId,
-    event: {case: name, value} as never,
-  });
-}
+/** Period of the check for urgent requests and lost servers. */
+const TICK_MS = 50;
+/** Period of the load reports and of the search for servers to own. */
+const REPORT_PERIOD_MS = 500;
+/** Time for an engine to notice that a stream was given up. */
+const ABANDON_GRACE_MS = 25;
+/** Bytes of a body that make one token, for the accounts. */
+const BYTES_PER_TOKEN = 4;
 
-function makeFailure(attempt: Attempt, error: RouterError): DispatchEvent {
-  return makeEvent(attempt.request.attemptId, 'failed', {
-    code: error.code,
-    detail: error.message,
-    outcome: error.outcome,
-    offset: attempt.offset,
-    retryAfterMs: error.retryAfterMs ?? 0,
-  });
-}
+const refusalDetails: Partial<Record<ErrorCode, string>> = {
+  overloaded: 'the queue is full and holds nothing of a lower tier',
+  no_server: 'the backend server was taken out of service',
+  not_owner: 'another instance owns the backend server now',
+};
 
 /** Creates the owner task. */
 export function createOwner(options: OwnerOptions): Owner {
-  const {settings, clock, logger, metrics, engines} = options;
+  const {settings, clock, logger, metrics, engines, isOwner} = options;
   const owned = new Map<string, OwnedServer>();
   const attempts = new Map<string, Attempt>();
+  const engineReports = new Map<string, LoadReport>();
   let fileSet: FileSet | undefined;
+  let ticker: NodeJS.Timeout | undefined;
+  const reports = createLoadReports({
+    periodMs: REPORT_PERIOD_MS,
+    listServers: listReportedServers,
+    onReport: ({id}, report) => {
+      const {incarnation, completed} = report;
+      engineReports.set(id, report);
+      owned.get(id)?.stepLimit({type: 'report', incarnation, completed});
+    },
+  });
+
+  function isServed(server: BackendServer | undefined): boolean {
+    return server !== undefined && isInService(fileSet!, server);
+  }
+
+  function addServer(server: BackendServer): OwnedServer {
+    const created = createOwnedServer({
+      server,
+      maximumQueuedRequests: settings.limits.maximumQueuedRequests,
+      logger,
+      getFileSet: () => fileSet!,
+      getShare: options.getShare,
+    });
+    owned.set(server.id, created);
+    // The report tells whether the server is warm already.
+    void reports.fetchReport(server);
+    return created;
+  }
 
   function getOwned(serverId: string): OwnedServer {
-    const known = owned.get(serverId);
-    if (known) {
-      return known;
-    }
     const server = fileSet?.servers.get(serverId);
-    if (!server || server.state === ServiceState.OUT) {
+    if (!server || !isServed(server)) {
       throw new RouterError('no_server', `${serverId} is not in service`);
     }
-    const created: OwnedServer = {
-      server,
-      queue: createServerQueue({
-        limit: server.capacity.requests,
-        maximumQueued: settings.limits.maximumQueuedRequests,
-      }),
-    };
-    owned.set(serverId, created);
-    return created;
+    if (!isOwner(serverId)) {
+      throw new RouterError('not_owner', `${serverId} is not owned`);
+    }
+    return owned.get(serverId) ?? addServer(server);
+  }
+
+  function listReportedServers(): BackendServer[] {
+    for (const server of fileSet?.servers.values() ?? []) {
+      if (!owned.has(server.id) && isServed(server) && isOwner(server.id)) {
+        addServer(server);
+      }
+    }
+    return [...owned.values()].map(target => target.server);
+  }
+
+  function stepQueue(target: OwnedServer, message: QueueMessage): void {
+    for (const action of target.stepQueue(message, clock.now())) {
+      const attempt = attempts.get(action.request.attemptId);
+      if (attempt) {
+        actionHandlers[action.type](target, attempt, action);
+      }
+    }
   }
 
-  async function runAttempt(
+  const actionHandlers: Record<
+    QueueAction['type'],
+    (target: OwnedServer, attempt: Attempt, action: QueueAction) => void
+  > = {
+    dispatch: (target, attempt) => void startAttempt(target, attempt),
+    preempt: (target, attempt) => {
+      const {className, tier} = attempt.request;
+      logger.debug('preempted', {server: target.server.id, className, tier});
+      metrics.count('owner.preempted', 1, {class: className});
+      attempt.preemption.abort();
+    },
+    refuse: (_target, attempt, action) => {
+      const code = action.type === 'refuse' ? action.code : 'internal';
+      metrics.count('owner.refused', 1, {code});
+      refuseAttempt(
+        attempt,
+        new RouterError(code, refusalDetails[code] ?? code),
+      );
+    },
+  };
+
+  async function startAttempt(
     target: OwnedServer,
     attempt: Attempt,
   ): Promise<void> {
-    const {request, events, signal} = attempt;
-    const {attemptId} = request;
     const startedAt = clock.now();
-    try {
-      await events.push(makeEvent(attemptId, 'started', {}));
-      const answer = engines.streamAnswer({
-        address: target.server.address,
-        attemptId,
-        requestId: request.requestId,
-        tier: request.tier,
-        resumeOffset: request.resumeOffset,
-        body: request.body,
-        signal,
-        idleTimeoutMs: fileSet!.files['service.json'].maximumRequestMs,
-      });
-      for await (const {offset, tokens, data} of answer) {
-        attempt.offset = offset + tokens;
-        const chunk = {offset, tokens, data: Buffer.from(data)};
-        await events.push(makeEvent(attemptId, 'chunk', chunk));
-      }
-      const totalTokens = attempt.offset;
-      await events.push(makeEvent(attemptId, 'completed', {totalTokens}));
-    } catch (error) {
-      await events.push(makeFailure(attempt, toRouterError(error)));
-    } finally {
-      metrics.timing('owner.attempt', clock.now() - startedAt);
-      endAttempt(target, attempt);
+    attempt.isRunning = true;
+    const report = await runAttempt({
+      attempt,
+      engines,
+      clock,
+      address: target.server.address,
+      idleTimeoutMs: fileSet!.files['service.json'].maximumRequestMs,
+    });
+    metrics.timing('owner.attempt', clock.now() - startedAt);
+    if (report.isAbandoned) {
+      // The engine may still count the stream as running.
+      await waitFor(ABANDON_GRACE_MS);
     }
+    endAttempt(target, attempt, report);
   }
 
-  function endAttempt(target: OwnedServer, attempt: Attempt): void {
-    const {attemptId} = attempt.request;
-    attempts.delete(attemptId);
-    attempt.events.end();
-    applyActions(
-      target,
-      target.queue.step({type: 'finish', attemptId}, clock.now()),
-    );
+  function observeAttempt(
+    target: OwnedServer,
+    {request}: Attempt,
+    report: AttemptReport,
+  ): void {
+    const {msPerToken} = report;
+    if (msPerToken > 0) {
+      target.observeSpeed(msPerToken);
+    }
+    if (report.isServerFailure) {
+      target.stepLimit({type: 'failed'});
+      return;
+    }
+    if (report.isComplete) {
+      const targets = fileSet!.classes.get(request.className)?.targets;
+      const targetMsPerToken = targets?.betweenTokensMs ?? Infinity;
+      target.stepLimit({type: 'completed', msPerToken, targetMsPerToken});
+    }
   }
 
-  function applyActions(
+  function endAttempt(
     target: OwnedServer,
-    actions: readonly QueueAction[],
+    attempt: Attempt,
+    report: AttemptReport,
   ): void {
-    for (const action of actions) {
-      const attempt = attempts.get(action.request.attemptId);
-      if (!attempt) {
-        continue;
-      }
-      if (action.type === 'dispatch') {
-        void runAttempt(target, attempt);
-      } else {
-        refuseAttempt(
-          attempt,
-          new RouterError(action.code, 'the queue is full'),
-        );
-      }
-    }
+    const {attemptId, body} = attempt.request;
+    attempts.delete(attemptId);
+    observeAttempt(target, attempt, report);
+    const prompt = Math.ceil(body.length / BYTES_PER_TOKEN);
+    const tokens = prompt + report.outputTokens;
+    stepQueue(target, {type: 'finish', attemptId, tokens});
   }
 
   function refuseAttempt(attempt: Attempt, error: RouterError): void {
-    attempts.delete(attempt.request.attemptId);
-    void attempt.events.push(makeFailure(attempt, error));
+    const {attemptId} = attempt.request;
+    attempts.delete(attemptId);
+    void attempt.events.push(makeFailure(attemptId, attempt.offset, error));
     attempt.events.end();
   }
 
   function enqueueAttempt(attempt: Attempt): void {
-    const {request} = attempt;
-    if (!options.isOwner(request.serverId)) {
-      throw new RouterError('not_owner', `${request.serverId} is not owned`);
-    }
+    const {request, signal} = attempt;
     const target = getOwned(request.serverId);
     attempts.set(request.attemptId, attempt);
-    const queued = {
-      attemptId: request.attemptId,
-      className: request.className,
-      customerId: request.customerId,
-      tier: request.tier,
-      deadline: clock.now() + request.slackMs,
-      estimatedTokens: request.estimatedTokens,
-    };
-    applyActions(
-      target,
-      target.queue.step({type: 'enqueue', request: queued}, clock.now()),
-    );
-    attempt.signal.addEventListener('abort', () =>
-      cancelWaiting(target, attempt),
-    );
+    signal.addEventListener('abort', () => cancelWaiting(target, attempt));
+    stepQueue(target, {
+      type: 'enqueue',
+      request: {
+        attemptId: request.attemptId,
+        className: request.className,
+        customerId: request.customerId,
+        tier: request.tier,
+        deadline: clock.now() + request.slackMs,
+        estimatedTokens: request.estimatedTokens,
+      },
+    });
   }
 
-  /** A running attempt ends by its own signal; a waiting one has to be removed. */
+  /** A running attempt ends by its signal and holds its place until then. */
   function cancelWaiting(target: OwnedServer, attempt: Attempt): void {
     const {attemptId} = attempt.request;
-    if (!attempts.has(attemptId)) {
+    if (!attempts.has(attemptId) || attempt.isRunning) {
       return;
     }
-    applyActions(
-      target,
-      target.queue.step({type: 'cancel', attemptId}, clock.now()),
-    );
+    const outcome = Outcome.NOT_RUN;
     refuseAttempt(
       attempt,
-      new RouterError('cancelled', 'the caller left', {
-        outcome: Outcome.UNKNOWN,
-      }),
+      new RouterError('cancelled', 'the caller left', {outcome}),
     );
+    stepQueue(target, {type: 'cancel', attemptId});
+  }
+
+  /** Gives queued work back where nothing may be dispatched any more. */
+  function checkServer(target: OwnedServer): void {
+    const {id} = target.server;
+    const code = findDrainCode(id);
+    if (code === undefined) {
+      stepQueue(target, {type: 'tick'});
+      return;
+    }
+    stepQueue(target, {type: 'drain', code});
+    if (target.countRunning() === 0) {
+      owned.delete(id);
+    }
+  }
+
+  function findDrainCode(serverId: string): ErrorCode | undefined {
+    if (!isServed(fileSet?.servers.get(serverId))) {
+      return 'no_server';
+    }
+    return isOwner(serverId) ? undefined : 'not_owner';
+  }
+
+  function applyServer(target: OwnedServer): void {
+    const server = fileSet!.servers.get(target.server.id);
+    if (isServed(server)) {
+      target.server = server!;
+      target.stepLimit({type: 'return'});
+      return;
+    }
+    target.stepLimit({type: 'drain'});
+    checkServer(target);
   }
 
   return {
+    start: () => {
+      reports.start();
+      ticker = setInterval(
+        () => [...owned.values()].forEach(checkServer),
+        TICK_MS,
+      );
+    },
+    stop: () => {
+      reports.stop();
+      clearInterval(ticker);
+    },
     dispatch: (request, signal) => {
-      const events = createChannel<DispatchEvent>();
-      const attempt = {request, events, signal, offset: request.resumeOffset};
+      const attempt: Attempt = {
+        request,
+        events: createChannel<DispatchEvent>(),
+        signal,
+        preemption: new AbortController(),
+        isRunning: false,
+        offset: request.resumeOffset,
+      };
       try {
         enqueueAttempt(attempt);
       } catch (error) {
         logger.debug('dispatch_refused', {attempt: request.attemptId});
         refuseAttempt(attempt, toRouterError(error, Outcome.NOT_RUN));
       }
-      return events;
+      return attempt.events;
     },
     applyFileSet: set => {
       fileSet = set;
-      for (const [id, target] of owned) {
-        const server = set.servers.get(id);
-        if (!server || server.state === ServiceState.OUT) {
-          owned.delete(id);
-        } else {
-          target.server = server;
-        }
-      }
+      [...owned.values()].forEach(applyServer);
     },
-    listLoads: () =>
-      [...owned].map(([serverId, {queue}]) => ({
-        serverId,
-        limit: queue.limit,
-        inFlight: queue.countRunning(),
-        queued: queue.countQueued(),
-      })),
+    listLoads: () => [...owned.values()].map(target => target.describeLoad()),
+    listEngineLoads: () =>
+      [...owned.values()].map(target => {
+        const report = engineReports.get(target.server.id);
+        return {
+          ...target.describeLoad(),
+          inFlight: report?.running ?? 0,
+          queued: report?.waiting ?? 0,
+        };
+      }),
   };
 }
--- a/packages/router/src/tasks/placer.ts
+++ b/packages/router/src/tasks/placer.ts
@@ -1,25 +1,33 @@
 /** Placement: which backend server a request should go to. */
 import {ServiceState} from '@buckthornbeam/config';
 import type {BackendServer, FileSet} from '@buckthornbeam/config';
-import {placeRequest} from '@buckthornbeam/decisions';
-import type {PlacementCandidate} from '@buckthornbeam/decisions';
-import type {ServerLoad} from '@buckthornbeam/membership';
-import {RouterError} from '@buckthornbeam/shared';
-import type {RandomSource} from '@buckthornbeam/shared';
+import {
+  createPrefixTable,
+  createStragglerDetector,
+  placeRequest,
+} from '@buckthornbeam/decisions';
+import type {PlacementCandidate, Prompt} from '@buckthornbeam/decisions';
+import {RouterError, SECOND_MS} from '@buckthornbeam/shared';
+import type {Clock, RandomSource} from '@buckthornbeam/shared';
 import type {AdmittedRequest} from './admission.js';
+import type {KnownLoad} from './known_loads.js';
 
 /** Options of {@link createPlacer}. */
 export interface PlacerOptions {
   random: RandomSource;
+  clock: Clock;
   getFileSet: () => FileSet;
-  /** Loads of all servers as far as known, own and reported by peers. */
-  listLoads: () => ServerLoad[];
+  /** Loads of all servers as far as known, the most trusted last. */
+  listLoads: () => KnownLoad[];
 }
 
 /** Chooses backend servers. */
 export interface Placer {
-  /** Returns a server's id; throws `no_server`. */
-  place(admitted: AdmittedRequest): string;
+  /**
+   * Returns a server's id, none of `excluded`; throws `no_server` when no
+   * server is left.
+   */
+  place(admitted: AdmittedRequest, excluded?: ReadonlySet<string>): string;
 }
 
 /** Whether operators have the server and its data centre in service. */
@@ -30,35 +38,117 @@
   );
 }
 
+/** Time between two looks for stragglers, in milliseconds. */
+const STRAGGLER_PERIOD_MS = SECOND_MS;
+
+function toPrompt({request}: AdmittedRequest): Prompt {
+  const messages = request.body['messages'] as Array<{content?: unknown}>;
+  const content = messages[0]?.content;
+  const text = typeof content === 'string' ? content : '';
+  return {model: request.model, text};
+}
+
 /** Creates the placer of one instance. */
 export function createPlacer(options: PlacerOptions): Placer {
-  const {random, getFileSet, listLoads} = options;
+  const {random, clock, getFileSet, listLoads} = options;
+  const stragglers = createStragglerDetector();
+  const prefixes = createPrefixTable();
+  /** Times at which requests were sent, by server, oldest first. */
+  const sentTimes = new Map<string, number[]>();
+  let stragglersAt = -Infinity;
 
-  function listCandidates(model: string): PlacementCandidate[] {
+  function countSentSince(serverId: string, reportedAt: number): number {
+    const times = sentTimes.get(serverId);
+    if (!times) {
+      return 0;
+    }
+    while (times.length > 0 && times[0]! < reportedAt) {
+      times.shift();
+    }
+    // Without a report only the last second counts.
+    const since = Math.max(reportedAt, clock.now() - SECOND_MS);
+    return times.filter(time => time >= since).length;
+  }
+
+  function observeSpeeds(loads: ReadonlyMap<string, KnownLoad>): void {
+    if (clock.now() - stragglersAt < STRAGGLER_PERIOD_MS) {
+      return;
+    }
+    stragglersAt = clock.now();
+    const rates = new Map<string, number>();
+    for (const [serverId, {load}] of loads) {
+      if (load.msPerToken > 0) {
+        rates.set(serverId, SECOND_MS / load.msPerToken);
+      }
+    }
+    stragglers.observe(rates);
+  }
+
+  function makeCandidate(
+    server: BackendServer,
+    known: KnownLoad | undefined,
+  ): PlacementCandidate {
+    const reportedAt = known?.reportedAt ?? -Infinity;
+    return {
+      serverId: server.id,
+      limit: known?.load.limit ?? server.capacity.startingRequests,
+      inFlight: known?.load.inFlight ?? 0,
+      queued: known?.load.queued ?? 0,
+      sentSince: countSentSince(server.id, reportedAt),
+      expectedWaitMs: known?.load.expectedWaitMs ?? 0,
+      msPerToken: known?.load.msPerToken ?? 0,
+      isStraggler: stragglers.isStraggler(server.id),
+      lowestTier: known?.load.lowestTier ?? 0,
+      ageMs: clock.now() - reportedAt,
+    };
+  }
+
+  function listCandidates(
+    model: string,
+    excluded: ReadonlySet<string>,
+  ): PlacementCandidate[] {
     const set = getFileSet();
-    const loads = new Map(listLoads().map(load => [load.serverId, load]));
-    return [...set.servers.values()]
-      .filter(
-        server => isInService(set, server) && server.models.includes(model),
-      )
-      .map(server => {
-        const load = loads.get(server.id);
-        return {
-          serverId: server.id,
-          limit: load?.limit ?? server.capacity.startingRequests,
-          inFlight: load?.inFlight ?? 0,
-          queued: load?.queued ?? 0,
-          sentSince: 0,
-        };
-      });
+    const loads = new Map(
+      listLoads().map(known => [known.load.serverId, known]),
+    );
+    observeSpeeds(loads);
+    const candidates: PlacementCandidate[] = [];
+    for (const server of set.servers.values()) {
+      const isCandidate =
+        server.models.includes(model) &&
+        !excluded.has(server.id) &&
+        isInService(set, server);
+      if (isCandidate) {
+        candidates.push(makeCandidate(server, loads.get(server.id)));
+      }
+    }
+    return candidates;
+  }
+
+  function recordSent(serverId: string): void {
+    const times = sentTimes.get(serverId) ?? [];
+    sentTimes.set(serverId, times);
+    times.push(clock.now());
   }
 
   return {
-    place: ({request}) => {
-      const placed = placeRequest(listCandidates(request.model), random);
+    place: (admitted, excluded = new Set()) => {
+      const {request, requestClass} = admitted;
+      const prompt = toPrompt(admitted);
+      const placed = placeRequest(
+        listCandidates(request.model, excluded),
+        {
+          tier: requestClass.tier,
+          betweenTokensMs: requestClass.targets.betweenTokensMs,
+          prefixServerId: prefixes.find(prompt),
+        },
+        random,
+      );
       if (!placed) {
         throw new RouterError('no_server', `no server holds ${request.model}`);
       }
+      recordSent(placed.serverId);
+      prefixes.record(prompt, placed.serverId);
       return placed.serverId;
     },
   };
--- a/packages/router/src/tasks/relay.ts
+++ b/packages/router/src/tasks/relay.ts
@@ -3,13 +3,20 @@
 import {create} from '@bufbuild/protobuf';
 import {DispatchRequestSchema} from '@buckthornbeam/protocol';
 import type {DispatchEvent, DispatchRequest} from '@buckthornbeam/protocol';
-import {Outcome, RouterError, isErrorCode} from '@buckthornbeam/shared';
+import {
+  Outcome,
+  RouterError,
+  isErrorCode,
+  waitFor,
+} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
 import type {AdmittedRequest} from './admission.js';
 import type {AnswerChunk} from './chat_request.js';
+import type {DispatchPolicy} from './dispatch_policy.js';
 import type {Member} from './member.js';
 import type {Owner} from './owner.js';
+import {createPlacements} from './placements.js';
 import type {Placer} from './placer.js';
 
 /** Options of {@link createRelay}. */
@@ -19,6 +26,7 @@
   member: Member;
   owner: Owner;
   placer: Placer;
+  policy: DispatchPolicy;
 }
 
 /** Relays answers. */
@@ -30,9 +38,6 @@
   ): AsyncGenerator<AnswerChunk>;
 }
 
-/** Attempts of one request before the caller is told. */
-const MAXIMUM_ATTEMPTS = 4;
-
 function toFailure(event: DispatchEvent): RouterError | undefined {
   if (event.event.case !== 'failed') {
     return undefined;
@@ -44,11 +49,6 @@
   });
 }
 
-/** Refusals to make room are not retried. */
-function isRetryable(error: unknown): boolean {
-  return !(error instanceof RouterError) || error.code !== 'overloaded';
-}
-
 function makeTruncated(detail: string): RouterError {
   return new RouterError('answer_truncated', detail, {
     outcome: Outcome.UNKNOWN,
@@ -57,13 +57,13 @@
 
 /** Creates the relay of one instance. */
 export function createRelay(options: RelayOptions): Relay {
-  const {identity, clients, member, owner, placer} = options;
+  const {identity, clients, member, owner, placer, policy} = options;
 
   function forwardToOwner(
     request: DispatchRequest,
     signal: AbortSignal,
   ): AsyncIterable<DispatchEvent> {
-    const ownerId = member.findOwner(request.serverId);
+    const ownerId = policy.findOwner(request.serverId);
     if (ownerId === undefined || ownerId === identity.instanceId) {
       return owner.dispatch(request, signal);
     }
@@ -107,12 +107,13 @@
   function makeDispatch(
     admitted: AdmittedRequest,
     resumeOffset: number,
+    refusedBy: ReadonlySet<string>,
   ): DispatchRequest {
     const {request, customerId, requestClass, estimatedTokens} = admitted;
     return create(DispatchRequestSchema, {
       requestId: request.requestId,
       attemptId: randomUUID(),
-      serverId: placer.place(admitted),
+      serverId: placer.place(admitted, refusedBy),
       className: requestClass.name,
       customerId,
       model: request.model,
@@ -128,8 +129,11 @@
   return {
     async *relay(admitted, signal) {
       let offset = admitted.request.resumeOffset;
-      for (let attempt = 1; ; attempt++) {
-        const dispatch = makeDispatch(admitted, offset);
+      const placements = createPlacements();
+      for (;;) {
+        const dispatch = placements.makeNext(refusedBy =>
+          makeDispatch(admitted, offset, refusedBy),
+        );
         try {
           for await (const chunk of relayAttempt(dispatch, signal)) {
             yield chunk;
@@ -137,10 +141,11 @@
           }
           return;
         } catch (error) {
-          const isFinal = attempt >= MAXIMUM_ATTEMPTS || signal.aborted;
-          if (isFinal || !isRetryable(error)) {
+          const pauseMs = placements.observe(error, dispatch.serverId);
+          if (signal.aborted || pauseMs === undefined) {
             throw error;
           }
+          await waitFor(pauseMs, signal);
         }
       }
     },
--- a/packages/stand_ins/src/cluster/cluster.ts
+++ b/packages/stand_ins/src/cluster/cluster.ts
@@ -20,6 +20,8 @@
   /** Number of entry processes. */
   entries?: number;
   engine?: EngineOptions;
+  /** Options of single engines that differ, by server. */
+  engineChanges?: Readonly<Record<string, EngineOptions>>;
   /** Settings that differ from the defaults. */
   settings?: Partial<SettingsFile>;
 }
@@ -66,7 +68,8 @@
   const published = loadFileSet(options.fileSetDirectory);
   const engines = new Map<string, EngineStandIn>();
   for (const id of published.servers.keys()) {
-    engines.set(id, await startEngine(options.engine));
+    const changes = options.engineChanges?.[id];
+    engines.set(id, await startEngine({...options.engine, ...changes}));
   }
   const service = await startPlainService();
   const platform = await startPlatform();
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -7,6 +7,7 @@
 import {serveApp} from '../http_server.js';
 import {makeToken, planAnswer} from './answer_text.js';
 import type {AnswerPlan} from './answer_text.js';
+import {createLoadHistory} from './load_history.js';
 
 /** What happened to one generation. */
 export const EngineEventKind = {
@@ -48,6 +49,10 @@
   warmAfterRequests?: number;
   /** Time to the first token without load, in milliseconds. */
   prefillMs?: number;
+  /** The engine has done its starting work already. */
+  startsWarm?: boolean;
+  /** Age of load reports, in milliseconds. */
+  loadLagMs?: number;
   /** Takes the events of all generations. */
   onEvent?: (event: EngineEvent) => void;
 }
@@ -92,9 +97,13 @@
   coldRequests: 4,
   warmAfterRequests: 20,
   prefillMs: 20,
+  startsWarm: false,
+  loadLagMs: 0,
   onEvent: () => {},
 };
 
+/** Requests that an engine that starts warm has finished. */
+const WARM_COMPLETED = 1000;
 const TICK_MS = 5;
 const DEFAULT_ANSWER_TOKENS = 64;
 const encoder = new TextEncoder();
@@ -107,7 +116,7 @@
   const running = new Set<Stream>();
   const waiting: Stream[] = [];
   const held = new WeakSet<Stream>();
-  let completed = 0;
+  let completed = config.startsWarm ? WARM_COMPLETED : 0;
   let falls = 0;
   let requests = 0;
   let tokens = 0;
@@ -115,6 +124,8 @@
   let tickedAt = performance.now();
   let holdOffset: number | null = null;
   let speed = config.tokensPerSecond;
+  let startedAt = performance.now();
+  const loadHistory = createLoadHistory(config.loadLagMs);
 
   function reportEvent(kind: EngineEventKind, stream: Stream): void {
     const {requestId, attemptId, priority: tier, offset} = stream;
@@ -218,6 +229,17 @@
       }
     }
     startWaiting();
+    recordLoad(now);
+  }
+
+  function recordLoad(now: number): void {
+    loadHistory.record(now, {
+      running: running.size,
+      waiting: waiting.length,
+      completed,
+      tokens,
+      startedAt,
+    });
   }
 
   function removeStream(stream: Stream): void {
@@ -265,13 +287,9 @@
       headers: {'content-type': 'text/event-stream'},
     });
   });
-  app.get('/load', () => ({
-    running: running.size,
-    waiting: waiting.length,
-    completed,
-    tokens,
-  }));
+  app.get('/load', () => loadHistory.get(performance.now()));
 
+  recordLoad(startedAt);
   const timer = setInterval(runTick, TICK_MS);
   const server = await serveApp(app, config.port);
   return {
@@ -283,6 +301,7 @@
     countTokens: () => tokens,
     restart: shouldBreak => {
       completed = 0;
+      startedAt = performance.now();
       if (shouldBreak) {
         breakStreams();
       }
