--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -106,6 +106,7 @@
     getCallerAddress: () => callerServer!.address,
     ticketKey: settings.ticketKey,
     clock,
+    logger,
     random,
     clients,
     member,
--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -2,7 +2,7 @@
 import type {FileSet, ServiceRoute} from '@buckthornbeam/config';
 import type {TicketResult} from '@buckthornbeam/decisions';
 import {RouterError} from '@buckthornbeam/shared';
-import type {Clock, RandomSource} from '@buckthornbeam/shared';
+import type {Clock, Logger, RandomSource} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
 import {createAdmission} from './admission.js';
@@ -25,6 +25,7 @@
   getCallerAddress: () => string;
   ticketKey: string;
   clock: Clock;
+  logger: Logger;
   random: RandomSource;
   clients: PeerClients;
   member: Member;
@@ -88,7 +89,9 @@
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
-      yield* relay.relay(admission.accept(customerId, request), signal);
+      const admitted = admission.accept(customerId, request);
+      options.logger.debug('request_admitted', {request: request.requestId});
+      yield* relay.relay(admitted, signal);
     },
     getServiceRoute: (name, method, path) => {
       const service = getFileSet().services.get(name);
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -194,6 +194,11 @@
       target,
       target.queue.step({type: 'enqueue', request: queued}, clock.now()),
     );
+    logger.debug('attempt_queued', {
+      server: request.serverId,
+      request: request.requestId,
+      queued: target.queue.countQueued(),
+    });
     attempt.signal.addEventListener('abort', () =>
       cancelWaiting(target, attempt),
     );
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -65,8 +65,11 @@
   countTokens(): number;
   /** Makes the engine cold, with or without breaking its streams. */
   restart(breakStreams: boolean): void;
-  /** Holds every stream before the token at this offset; null releases. */
-  setHold(offset: number | null): void;
+  /**
+   * Holds streams before the token at this offset; null releases. Only requests
+   * whose id begins with the prefix are held.
+   */
+  setHold(offset: number | null, requestPrefix?: string): void;
   /** Changes the speed of streams, in tokens a second. */
   setSpeed(tokensPerSecond: number): void;
   close(): Promise<void>;
@@ -114,6 +117,7 @@
   let peak = 0;
   let tickedAt = performance.now();
   let holdOffset: number | null = null;
+  let holdPrefix = '';
   let speed = config.tokensPerSecond;
 
   function reportEvent(kind: EngineEventKind, stream: Stream): void {
@@ -160,6 +164,7 @@
     const content = makeToken(stream.plan, stream.offset);
     const isLast = stream.offset + 1 >= stream.plan.totalTokens;
     const event = {
+      id: stream.requestId,
       object: 'chat.completion.chunk',
       offset: stream.offset,
       tokens: 1,
@@ -178,6 +183,12 @@
     stream.controller.close();
   }
 
+  function isHeld(stream: Stream): boolean {
+    return (
+      stream.offset === holdOffset && stream.requestId.startsWith(holdPrefix)
+    );
+  }
+
   function reportHeld(stream: Stream): void {
     if (!held.has(stream)) {
       held.add(stream);
@@ -188,7 +199,7 @@
   function advanceStream(stream: Stream, due: number): void {
     stream.credit += due;
     while (stream.credit >= 1 && stream.offset < stream.plan.totalTokens) {
-      if (stream.offset === holdOffset) {
+      if (isHeld(stream)) {
         stream.credit = 0;
         reportHeld(stream);
         return;
@@ -262,7 +273,10 @@
       },
     });
     return new Response(answer, {
-      headers: {'content-type': 'text/event-stream'},
+      headers: {
+        'content-type': 'text/event-stream',
+        'x-attempt-id': event.req.headers.get('x-attempt-id') ?? '',
+      },
     });
   });
   app.get('/load', () => ({
@@ -287,8 +301,9 @@
         breakStreams();
       }
     },
-    setHold: offset => {
+    setHold: (offset, requestPrefix = '') => {
       holdOffset = offset;
+      holdPrefix = requestPrefix;
     },
     setSpeed: tokensPerSecond => {
       speed = tokensPerSecond;
