--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -2,7 +2,7 @@
 import type {FileSet, ServiceRoute} from '@buckthornbeam/config';
 import type {TicketResult} from '@buckthornbeam/decisions';
 import {RouterError} from '@buckthornbeam/shared';
-import type {Clock, RandomSource} from '@buckthornbeam/shared';
+import type {Clock, Logger, RandomSource} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
 import {createAdmission} from './admission.js';
@@ -28,6 +28,7 @@
   getCallerAddress: () => string;
   ticketKey: string;
   clock: Clock;
+  logger: Logger;
   random: RandomSource;
   clients: PeerClients;
   member: Member;
@@ -114,7 +115,9 @@
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
-      yield* relayAdmitted(admission.accept(customerId, request), signal);
+      const admitted = admission.accept(customerId, request);
+      options.logger.debug('request_admitted', {request: request.requestId});
+      yield* relayAdmitted(admitted, signal);
     },
     getServiceRoute: (name, method, path) => {
       const service = getFileSet().services.get(name);
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -230,6 +230,11 @@
         estimatedTokens: request.estimatedTokens,
       },
     });
+    logger.debug('attempt_queued', {
+      server: request.serverId,
+      request: request.requestId,
+      queued: target.describeLoad().queued,
+    });
   }
 
   /** A running attempt ends by its signal and holds its place until then. */
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -70,8 +70,11 @@
   countTokens(): number;
   /** Makes the engine cold, with or without breaking its streams. */
   restart(breakStreams: boolean): void;
-  /** Holds every stream before the token at this offset; null releases. */
-  setHold(offset: number | null): void;
+  /**
+   * Holds streams before the token at this offset; null releases. Only requests
+   * whose id begins with the prefix are held.
+   */
+  setHold(offset: number | null, requestPrefix?: string): void;
   /** Changes the speed of streams, in tokens a second. */
   setSpeed(tokensPerSecond: number): void;
   close(): Promise<void>;
@@ -123,6 +126,7 @@
   let peak = 0;
   let tickedAt = performance.now();
   let holdOffset: number | null = null;
+  let holdPrefix = '';
   let speed = config.tokensPerSecond;
   let startedAt = performance.now();
   const loadHistory = createLoadHistory(config.loadLagMs);
@@ -171,6 +175,7 @@
     const content = makeToken(stream.plan, stream.offset);
     const isLast = stream.offset + 1 >= stream.plan.totalTokens;
     const event = {
+      id: stream.requestId,
       object: 'chat.completion.chunk',
       offset: stream.offset,
       tokens: 1,
@@ -189,6 +194,12 @@
     stream.controller.close();
   }
 
+  function isHeld(stream: Stream): boolean {
+    return (
+      stream.offset === holdOffset && stream.requestId.startsWith(holdPrefix)
+    );
+  }
+
   function reportHeld(stream: Stream): void {
     if (!held.has(stream)) {
       held.add(stream);
@@ -199,7 +210,7 @@
   function advanceStream(stream: Stream, due: number): void {
     stream.credit += due;
     while (stream.credit >= 1 && stream.offset < stream.plan.totalTokens) {
-      if (stream.offset === holdOffset) {
+      if (isHeld(stream)) {
         stream.credit = 0;
         reportHeld(stream);
         return;
@@ -284,7 +295,10 @@
       },
     });
     return new Response(answer, {
-      headers: {'content-type': 'text/event-stream'},
+      headers: {
+        'content-type': 'text/event-stream',
+        'x-attempt-id': event.req.headers.get('x-attempt-id') ?? '',
+      },
     });
   });
   app.get('/load', () => loadHistory.get(performance.now()));
@@ -306,8 +320,9 @@
         breakStreams();
       }
     },
-    setHold: offset => {
+    setHold: (offset, requestPrefix = '') => {
       holdOffset = offset;
+      holdPrefix = requestPrefix;
     },
     setSpeed: tokensPerSecond => {
       speed = tokensPerSecond;
