feat(router): answer every bad request with a problem document within bounds

Cause: errors of node:http itself (header overflow, parse errors, late headers) had no problem document; the body reader cancelled the web stream, which could reset the connection before the response was read; nothing bounded the bodies of all open requests together; field types, doubled headers, invalid UTF-8 and deep JSON went through; a caller's max_tokens went to the engine unbounded.

The limits are settings.

Ruled out: `connection: close` on refusals (a close with unread bytes can reset the connection and lose the response); a content check by schema (one table of field checks is enough).

--- a/packages/config/src/bundle.ts
+++ b/packages/config/src/bundle.ts
@@ -71,6 +71,7 @@
     },
     files,
     classes: indexBy(files['classes.json'].classes, item => item.name),
+    customers: indexBy(files['customers.json'].customers, item => item.id),
     customersByKeyDigest: indexBy(
       files['customers.json'].customers,
       item => item.apiKeyDigest,
--- a/packages/config/src/file_set.ts
+++ b/packages/config/src/file_set.ts
@@ -135,6 +135,7 @@
   readonly version: FileSetVersion;
   readonly files: FileSetFiles;
   readonly classes: ReadonlyMap<string, RequestClass>;
+  readonly customers: ReadonlyMap<string, Customer>;
   readonly customersByKeyDigest: ReadonlyMap<string, Customer>;
   readonly models: ReadonlyMap<string, Model>;
   readonly dataCentres: ReadonlyMap<string, DataCentre>;
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -20,7 +20,22 @@
 
 /** Bounds on what callers can use up. */
 export interface RequestLimits {
+  /** Size of one body. */
   maximumBodyBytes: number;
+  /** Bodies of all open requests together. */
+  maximumBufferedBytes: number;
+  /** Size of all headers of one request. */
+  maximumHeaderBytes: number;
+  /** Connections of callers; further ones are closed at once. */
+  maximumConnections: number;
+  /** Requests of callers at once. */
+  maximumOpenRequests: number;
+  /** Time for the headers to arrive whole, in milliseconds. */
+  headerTimeoutMs: number;
+  /** Time that a caller may leave an answer unread, in milliseconds. */
+  writeTimeoutMs: number;
+  /** Time that a connection may stay open without a request. */
+  idleConnectionMs: number;
   /** Time for a body to arrive whole, in milliseconds. */
   bodyTimeoutMs: number;
   /** Requests that may wait in one owner's queue for one server. */
@@ -63,10 +78,18 @@
   timing?: Partial<Timing>;
 };
 
-const MEBIBYTE = 1024 * 1024;
+const KIBIBYTE = 1024;
+const MEBIBYTE = 1024 * KIBIBYTE;
 
 const defaultLimits: RequestLimits = {
   maximumBodyBytes: 4 * MEBIBYTE,
+  maximumBufferedBytes: 64 * MEBIBYTE,
+  maximumHeaderBytes: 16 * KIBIBYTE,
+  maximumConnections: 8192,
+  maximumOpenRequests: 4096,
+  headerTimeoutMs: 5 * SECOND_MS,
+  writeTimeoutMs: 30 * SECOND_MS,
+  idleConnectionMs: 60 * SECOND_MS,
   bodyTimeoutMs: 10 * SECOND_MS,
   maximumQueuedRequests: 256,
 };
--- a/packages/router/src/http/chat_route.ts
+++ b/packages/router/src/http/chat_route.ts
@@ -3,6 +3,8 @@
 import {RouterError, toRouterError} from '@buckthornbeam/shared';
 import type {AnswerChunk, ChatRequest} from '../tasks/chat_request.js';
 import type {Entry} from '../tasks/entry.js';
+import {checkChatFields, getMaximumTokens} from './chat_fields.js';
+import {createJsonResponse} from './json_response.js';
 import {buildProblem, createProblemResponse} from './problem.js';
 
 const encoder = new TextEncoder();
@@ -18,13 +20,7 @@
   request: Request,
   body: Record<string, unknown>,
 ): ChatRequest {
-  const {model, messages, max_tokens: maximumTokens} = body;
-  if (typeof model !== 'string') {
-    throw new RouterError('invalid_request', '"model" has to be a text');
-  }
-  if (!Array.isArray(messages) || messages.length === 0) {
-    throw new RouterError('invalid_request', '"messages" has to be a list');
-  }
+  checkChatFields(body);
   const className = request.headers.get('x-request-class');
   if (!className) {
     throw new RouterError(
@@ -35,10 +31,9 @@
   return {
     requestId: request.headers.get('x-request-id') ?? randomUUID(),
     className,
-    model,
+    model: body['model'] as string,
     body,
-    maximumTokens:
-      typeof maximumTokens === 'number' ? maximumTokens : undefined,
+    maximumTokens: getMaximumTokens(body),
     resumeOffset: Number(request.headers.get('last-event-id') ?? 0),
   };
 }
@@ -109,7 +104,7 @@
     ],
     usage: {completion_tokens: answer.tokens},
   };
-  return Response.json(completion, {
+  return createJsonResponse(completion, {
     headers: {'x-request-id': request.requestId},
   });
 }
--- /dev/null
+++ b/packages/router/src/http/json_response.ts
@@ -0,0 +1,25 @@
+/** Whole JSON responses with their length, so that none has to be chunked. */
+
+/** Options of {@link createJsonResponse}. */
+export interface JsonResponseOptions {
+  status?: number;
+  contentType?: string;
+  headers?: Record<string, string>;
+}
+
+/** Creates a response that holds one JSON value. */
+export function createJsonResponse(
+  value: unknown,
+  options: JsonResponseOptions = {},
+): Response {
+  const {status = 200, contentType = 'application/json', headers} = options;
+  const body = Buffer.from(JSON.stringify(value));
+  return new Response(body, {
+    status,
+    headers: {
+      'content-type': contentType,
+      'content-length': String(body.byteLength),
+      ...headers,
+    },
+  });
+}
--- a/packages/router/src/http/problem.ts
+++ b/packages/router/src/http/problem.ts
@@ -1,6 +1,7 @@
 /** Problem documents: errors as callers read them. */
 import {errorTable} from '@buckthornbeam/shared';
 import type {RouterError} from '@buckthornbeam/shared';
+import {createJsonResponse} from './json_response.js';
 
 /** An error in the format application/problem+json. */
 export interface Problem {
@@ -38,12 +39,9 @@
     error.retryAfterMs === undefined
       ? {}
       : {'retry-after': String(Math.ceil(error.retryAfterMs / 1000))};
-  return new Response(JSON.stringify(problem), {
+  return createJsonResponse(problem, {
     status: problem.status,
-    headers: {
-      'content-type': 'application/problem+json',
-      ...retryAfter,
-      ...headers,
-    },
+    contentType: 'application/problem+json',
+    headers: {...retryAfter, ...headers},
   });
 }
--- a/packages/router/src/tasks/admission.ts
+++ b/packages/router/src/tasks/admission.ts
@@ -40,6 +40,23 @@
   return prompt + output;
 }
 
+/** Bounds the answer by the class, so that no request runs on without end. */
+function applyOutputLimit(
+  request: ChatRequest,
+  requestClass: RequestClass,
+): ChatRequest {
+  const maximumTokens = Math.min(
+    request.maximumTokens ?? requestClass.maximumOutputTokens,
+    requestClass.maximumOutputTokens,
+  );
+  const body = {
+    ...request.body,
+    max_tokens: maximumTokens,
+    max_completion_tokens: undefined,
+  };
+  return {...request, body, maximumTokens};
+}
+
 /** Creates the admission of one instance. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const {clock, getFileSet} = options;
@@ -54,9 +71,7 @@
   }
 
   function takeCustomerTokens(customerId: string, tokens: number): void {
-    const customer = getFileSet().files['customers.json'].customers.find(
-      item => item.id === customerId,
-    )!;
+    const customer = getFileSet().customers.get(customerId)!;
     const bucket = buckets.get(customerId) ?? createTokenBucket(customer);
     buckets.set(customerId, bucket);
     const waitMs = bucket.take(tokens, clock.now());
@@ -87,7 +102,12 @@
         requestClass.maximumOutputTokens,
       );
       takeCustomerTokens(customerId, estimatedTokens);
-      return {request, customerId, requestClass, estimatedTokens};
+      return {
+        request: applyOutputLimit(request, requestClass),
+        customerId,
+        requestClass,
+        estimatedTokens,
+      };
     },
   };
 }
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -13,6 +13,23 @@
 
 /** Every failure of the system by its stable code. */
 export const errorTable = {
+  malformed_http: {
+    status: 400,
+    title: 'The request is not valid HTTP.',
+    advice: 'Use an HTTP/1.1 client library.',
+  },
+  headers_too_large: {
+    status: 431,
+    title: 'The headers are larger than the limit.',
+    advice:
+      'Send fewer headers, or raise limits.maximumHeaderBytes in the settings.',
+  },
+  entry_full: {
+    status: 503,
+    title: 'The instance has as many requests open as its settings allow.',
+    advice:
+      'Use another address from GET /v1/entries, or raise limits in the settings.',
+  },
   malformed_json: {
     status: 400,
     title: 'The body is not valid JSON.',
@@ -56,7 +73,8 @@
   body_too_large: {
     status: 413,
     title: 'The body is larger than the limit.',
-    advice: 'Send a smaller body, or raise maxBodyBytes in the settings.',
+    advice:
+      'Send a smaller body, or raise limits.maximumBodyBytes in the settings.',
   },
   request_timeout: {
     status: 408,
