--- a/packages/router/src/tasks/admission.ts
+++ b/packages/router/src/tasks/admission.ts
@@ -59,6 +59,23 @@
   return Math.ceil(characters / CHARACTERS_PER_TOKEN);
 }
 
+/** Bounds the answer by the class, so that no request runs on without end. */
+function applyOutputLimit(
+  request: ChatRequest,
+  requestClass: RequestClass,
+): ChatRequest {
+  const maximumTokens = Math.min(
+    request.maximumTokens ?? requestClass.maximumOutputTokens,
+    requestClass.maximumOutputTokens,
+  );
+  const body = {
+    ...request.body,
+    max_tokens: maximumTokens,
+    max_completion_tokens: undefined,
+  };
+  return {...request, body, maximumTokens};
+}
+
 /** Creates the admission of one instance. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const {clock, getFileSet, countInstances} = options;
@@ -132,7 +149,7 @@
       const estimatedTokens = promptTokens + outputTokens;
       takeCustomerTokens(customerId, estimatedTokens);
       return {
-        request,
+        request: applyOutputLimit(request, requestClass),
         customerId,
         requestClass,
         estimatedTokens,
