--- a/packages/decisions/__tests__/estimates.spec.ts
+++ b/packages/decisions/__tests__/estimates.spec.ts
@@ -3,6 +3,7 @@
 import {createRandom} from '@buckthornbeam/shared';
 import {describe, it} from '@buckthornbeam/testing';
 import {
+  createLeadTime,
   createOutputEstimator,
   createRetryBudget,
   createStragglerDetector,
@@ -212,3 +213,20 @@
     assert.not(chosen.has('s-5'), 'the fuller of a pair is not chosen');
   });
 });
+
+describe('lead time', () => {
+  it('covers steady samples, follows a change and keeps its bounds', () => {
+    const lead = createLeadTime({minimumMs: 100, maximumMs: 2000});
+    assert.is(lead.ms, 100);
+    for (let count = 0; count < 40; count++) {
+      lead.observe(300 + (count % 2) * 100);
+    }
+    assert.ok(lead.ms >= 400 && lead.ms <= 500, String(lead.ms));
+    for (let count = 0; count < 60; count++) {
+      lead.observe(20);
+    }
+    assert.is(lead.ms, 100);
+    lead.observe(1e6);
+    assert.is(lead.ms, 2000);
+  });
+});
--- a/packages/decisions/__tests__/server_queue.spec.ts
+++ b/packages/decisions/__tests__/server_queue.spec.ts
@@ -225,6 +225,7 @@
     queue.step({type: 'enqueue', request: makeRequest('brief', 4)}, 0);
     const high = makeRequest('high', 1, {deadline: 400});
     assert.equal(queue.step({type: 'enqueue', request: high}, 0), []);
+    assert.equal(queue.step({type: 'tick'}, 90), [], 'still patient');
     const actions = queue.step({type: 'tick'}, 250);
     assert.equal(
       actions.map(action => [action.type, action.request.attemptId]),
--- a/packages/decisions/src/dispatch_order.ts
+++ b/packages/decisions/src/dispatch_order.ts
@@ -11,7 +11,7 @@
   /** Least share of dispatched work of a class, between 0 and 1. */
   getMinimumShare: (className: string) => number;
   /** Time from a dispatch to its first token, in milliseconds. */
-  leadMs: number;
+  getLeadMs: () => number;
 }
 
 /** A choice among waiting requests. */
@@ -41,7 +41,7 @@
 export function createDispatchOrder(
   options: DispatchOrderOptions,
 ): DispatchOrder {
-  const {getWeight, getMinimumShare, leadMs} = options;
+  const {getWeight, getMinimumShare, getLeadMs} = options;
   const shares = createMinimumShares({getShare: getMinimumShare});
   const clocks = new Map<number, FairShare>();
 
@@ -61,6 +61,7 @@
     b: QueuedRequest,
     now: number,
   ): number {
+    const leadMs = getLeadMs();
     const isLateA = a.deadline - now < leadMs;
     const isLateB = b.deadline - now < leadMs;
     return Number(isLateA) - Number(isLateB) || a.deadline - b.deadline;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,8 @@
 export type {AttemptProgress} from './attempt.js';
 export {createFairShare} from './fair_share.js';
 export type {FairShare, FairShareOptions} from './fair_share.js';
+export {createLeadTime} from './lead_time.js';
+export type {LeadTime, LeadTimeOptions} from './lead_time.js';
 export {createMinimumShares} from './minimum_share.js';
 export type {MinimumShares, MinimumSharesOptions} from './minimum_share.js';
 export {createOutputEstimator} from './output_estimator.js';
--- a/packages/decisions/src/minimum_share.ts
+++ b/packages/decisions/src/minimum_share.ts
@@ -9,8 +9,8 @@
 /** The counters of one queue. */
 export interface MinimumShares {
   /**
-   * Records a dispatch. Every class that waits earns its share of the work;
-   * a class without waiting requests loses what it has earned.
+   * Records a dispatch: every class earns its share of the work. A class
+   * without waiting requests keeps what its last request needed at most.
    */
   record(className: string, tokens: number, waiting: ReadonlySet<string>): void;
   /** Takes the difference of real to estimated work from what is earned. */
@@ -22,46 +22,55 @@
   findDue(needed: ReadonlyMap<string, number>): string | undefined;
 }
 
+interface ClassAccount {
+  earnedTokens: number;
+  /** Work of the class's last known request, in tokens. */
+  lastNeeded: number;
+}
+
 /** Creates counters at zero. */
 export function createMinimumShares(
   options: MinimumSharesOptions,
 ): MinimumShares {
   const {getShare} = options;
-  const earned = new Map<string, number>();
+  const accounts = new Map<string, ClassAccount>();
 
-  function removeIdle(waiting: ReadonlySet<string>): void {
-    for (const className of earned.keys()) {
-      if (!waiting.has(className)) {
-        earned.delete(className);
-      }
+  function getAccount(className: string): ClassAccount {
+    const known = accounts.get(className);
+    if (known) {
+      return known;
     }
+    const created = {earnedTokens: 0, lastNeeded: 0};
+    accounts.set(className, created);
+    return created;
   }
 
   return {
     record: (className, tokens, waiting) => {
-      removeIdle(waiting);
-      for (const name of waiting) {
-        const total = (earned.get(name) ?? 0) + getShare(name) * tokens;
-        // Work beyond the minimum share is not held against a class later.
-        const spent = name === className ? tokens : 0;
-        earned.set(name, Math.max(0, total - spent));
+      const spender = getAccount(className);
+      spender.lastNeeded = tokens;
+      for (const [name, account] of accounts) {
+        account.earnedTokens += getShare(name) * tokens;
+        if (!waiting.has(name)) {
+          const {earnedTokens, lastNeeded} = account;
+          account.earnedTokens = Math.min(earnedTokens, lastNeeded);
+        }
       }
+      // Work beyond the minimum share is not held against a class later.
+      spender.earnedTokens = Math.max(0, spender.earnedTokens - tokens);
     },
     settle: (className, difference) => {
-      const total = (earned.get(className) ?? 0) - difference;
-      earned.set(className, Math.max(0, total));
+      const account = getAccount(className);
+      account.earnedTokens = Math.max(0, account.earnedTokens - difference);
     },
     findDue: needed => {
       let best: string | undefined;
       let bestSurplus = 0;
       for (const [className, tokens] of needed) {
-        const surplus = (earned.get(className) ?? 0) - tokens;
-        const hasShare = getShare(className) > 0;
-        if (
-          hasShare &&
-          surplus >= 0 &&
-          (best === undefined || surplus > bestSurplus)
-        ) {
+        const account = getAccount(className);
+        account.lastNeeded = tokens;
+        const surplus = account.earnedTokens - tokens;
+        if (surplus >= 0 && (best === undefined || surplus > bestSurplus)) {
           best = className;
           bestSurplus = surplus;
         }
--- a/packages/decisions/src/server_queue.ts
+++ b/packages/decisions/src/server_queue.ts
@@ -14,6 +14,8 @@
   | {type: 'finish'; attemptId: string; tokens?: number}
   | {type: 'cancel'; attemptId: string}
   | {type: 'set_limit'; limit: number}
+  /** How long the server takes to the first token, in milliseconds. */
+  | {type: 'set_lead'; leadMs: number}
   /** Time has passed: an urgent request may need room. */
   | {type: 'tick'}
   /** Gives every waiting request back; running ones finish. */
@@ -36,7 +38,7 @@
   maximumQueued?: number;
   /** Tokens of work that may wait; one request may always wait. */
   maximumQueuedTokens?: number;
-  /** Time from a dispatch to its first token, in milliseconds. */
+  /** Time to the first token until it is known, in milliseconds. */
   leadMs?: number;
   /** Weight of a customer; 1 for all by default. */
   getWeight?: (customerId: string) => number;
@@ -59,6 +61,8 @@
 
 const DEFAULT_MAXIMUM_QUEUED = 256;
 const DEFAULT_LEAD_MS = 150;
+/** Lead times before its target at which a request becomes urgent. */
+const URGENT_LEADS = 3;
 
 /** Creates an empty queue. */
 export function createServerQueue(options: ServerQueueOptions): ServerQueue {
@@ -66,15 +70,18 @@
     tokensPerRequest = Infinity,
     maximumQueued = DEFAULT_MAXIMUM_QUEUED,
     maximumQueuedTokens = Infinity,
-    leadMs = DEFAULT_LEAD_MS,
     getWeight = () => 1,
     getMinimumShare = () => 0,
   } = options;
-  let limit = options.limit;
+  let {limit, leadMs = DEFAULT_LEAD_MS} = options;
   let queuedTokens = 0;
   const waiting: QueuedRequest[] = [];
   const running = createRunningSet();
-  const order = createDispatchOrder({getWeight, getMinimumShare, leadMs});
+  const order = createDispatchOrder({
+    getWeight,
+    getMinimumShare,
+    getLeadMs: () => leadMs,
+  });
 
   /** A request larger than the token limit runs alone. */
   function hasRoom(request: QueuedRequest): boolean {
@@ -106,17 +113,27 @@
     return actions;
   }
 
-  /** Stops lower tiers for requests that would miss their target by waiting. */
+  /** Waiting requests that would miss their target, the highest tier first. */
+  function listUrgent(now: number): QueuedRequest[] {
+    const lowest = running.getLowestTier();
+    return waiting
+      .filter(
+        ({tier, deadline}) =>
+          tier < lowest && deadline - now < URGENT_LEADS * leadMs,
+      )
+      .sort((a, b) => a.tier - b.tier);
+  }
+
+  /** Stops lower tiers for urgent requests, one for each. */
   function preemptForUrgent(now: number): QueueAction[] {
     const actions: QueueAction[] = [];
     // After a fall of the limit, places that come free are not given out.
     const excess = Math.max(0, running.count() - limit);
     let pending = running.countStopping() - excess;
-    for (const request of waiting) {
-      const isUrgent = request.deadline - now < 2 * leadMs;
-      if (!isUrgent || limit === 0) {
-        continue;
-      }
+    if (limit === 0 || pending < 0) {
+      return actions;
+    }
+    for (const request of listUrgent(now)) {
       if (pending > 0) {
         pending -= 1;
         continue;
@@ -210,6 +227,10 @@
       limit = message.limit;
       return advance(now);
     },
+    set_lead: (message, now) => {
+      leadMs = message.leadMs;
+      return advance(now);
+    },
     tick: (_message, now) => advance(now),
     drain: ({code}) => {
       limit = 0;
--- a/packages/router/src/tasks/attempt_run.ts
+++ b/packages/router/src/tasks/attempt_run.ts
@@ -15,6 +15,8 @@
   /** Stops the attempt on behalf of its owner. */
   readonly preemption: AbortController;
   isRunning: boolean;
+  /** Monotonic time at which it was queued, in milliseconds. */
+  readonly queuedAt: number;
   /** Offset behind the last token that was passed on. */
   offset: number;
 }
@@ -25,6 +27,8 @@
   outputTokens: number;
   /** Speed of the server in milliseconds for each token; 0 if unknown. */
   msPerToken: number;
+  /** Time from the dispatch to the first token; 0 without one. */
+  firstTokenMs: number;
   isComplete: boolean;
   /** The server broke the answer or could not be reached. */
   isServerFailure: boolean;
@@ -57,6 +61,7 @@
   let lastAt = 0;
   let blockedMs = 0;
   let tokens = 0;
+  const startedAt = clock.now();
   return {
     observe(count: number): void {
       lastAt = clock.now() - blockedMs;
@@ -68,6 +73,9 @@
       await work;
       blockedMs += clock.now() - startedAt;
     },
+    computeFirstTokenMs(): number {
+      return firstAt === undefined ? 0 : firstAt - startedAt;
+    },
     computeMsPerToken(): number {
       const isKnown = firstAt !== undefined && tokens >= MINIMUM_SPEED_TOKENS;
       return isKnown ? (lastAt - firstAt!) / (tokens - 1) : 0;
@@ -103,6 +111,7 @@
     return {
       outputTokens: attempt.offset - startOffset,
       msPerToken: meter.computeMsPerToken(),
+      firstTokenMs: meter.computeFirstTokenMs(),
       isComplete: error === undefined,
       isServerFailure: isFailure && !isAbandoned,
       isAbandoned: error !== undefined && isAbandoned,
--- a/packages/router/src/tasks/owned_server.ts
+++ b/packages/router/src/tasks/owned_server.ts
@@ -1,6 +1,10 @@
 /** One backend server as its owner keeps it: queue, limit and speed. */
 import type {BackendServer, FileSet} from '@buckthornbeam/config';
-import {createServerLimit, createServerQueue} from '@buckthornbeam/decisions';
+import {
+  createLeadTime,
+  createServerLimit,
+  createServerQueue,
+} from '@buckthornbeam/decisions';
 import type {
   LimitMessage,
   QueueAction,
@@ -28,10 +32,14 @@
   stepLimit(message: LimitMessage): void;
   /** Takes the speed of one whole answer, in milliseconds for each token. */
   observeSpeed(msPerToken: number): void;
+  /** Takes the time from a dispatch to its first token, in milliseconds. */
+  observeFirstToken(ms: number): void;
   describeLoad(): ServerLoad;
   countRunning(): number;
 }
 
+/** Bounds of the time to the first token that decisions count on. */
+const LEAD_BOUNDS = {minimumMs: 100, maximumMs: 2000};
 /** Weight of the newest answer in the average speed. */
 const SPEED_GAIN = 0.2;
 /** Work that may wait, as a multiple of the work that may run. */
@@ -53,6 +61,7 @@
     getWeight: id => getFileSet().customers.get(id)?.weight ?? 1,
     getMinimumShare: name => getFileSet().classes.get(name)?.minimumShare ?? 0,
   });
+  const leadTime = createLeadTime(LEAD_BOUNDS);
   let msPerToken = 0;
 
   function computeLimit(): number {
@@ -71,12 +80,20 @@
   return {
     server,
     stepQueue: (message, now) => {
+      if (message.type === 'drain') {
+        return queue.step(message, now);
+      }
       const limit = computeLimit();
-      const isChanged = limit !== queue.limit && message.type !== 'drain';
-      return [
-        ...(isChanged ? queue.step({type: 'set_limit', limit}, now) : []),
-        ...queue.step(message, now),
-      ];
+      const actions: QueueAction[] = [];
+      if (limit !== queue.limit) {
+        actions.push(...queue.step({type: 'set_limit', limit}, now));
+      }
+      if (message.type === 'tick') {
+        const leadMs = leadTime.ms;
+        actions.push(...queue.step({type: 'set_lead', leadMs}, now));
+      }
+      actions.push(...queue.step(message, now));
+      return actions;
     },
     stepLimit: message => {
       const {phase} = serverLimit;
@@ -95,6 +112,7 @@
       const gain = msPerToken === 0 ? 1 : SPEED_GAIN;
       msPerToken += gain * (sample - msPerToken);
     },
+    observeFirstToken: ms => leadTime.observe(ms),
     describeLoad: () => ({
       serverId: server.id,
       limit: computeLimit(),
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -159,6 +159,15 @@
   ): Promise<void> {
     const startedAt = clock.now();
     attempt.isRunning = true;
+    const {className, requestId} = attempt.request;
+    const waitMs = startedAt - attempt.queuedAt;
+    metrics.timing('owner.wait', waitMs, {class: className});
+    logger.debug('attempt_dispatched', {
+      server: target.server.id,
+      request: requestId,
+      class: className,
+      waitMs,
+    });
     const report = await runAttempt({
       attempt,
       engines,
@@ -179,7 +188,10 @@
     {request}: Attempt,
     report: AttemptReport,
   ): void {
-    const {msPerToken} = report;
+    const {msPerToken, firstTokenMs} = report;
+    if (firstTokenMs > 0) {
+      target.observeFirstToken(firstTokenMs);
+    }
     if (msPerToken > 0) {
       target.observeSpeed(msPerToken);
     }
@@ -302,6 +314,7 @@
         signal,
         preemption: new AbortController(),
         isRunning: false,
+        queuedAt: clock.now(),
         offset: request.resumeOffset,
       };
       try {
