feat(config,cli): complete checks, compressed bundles, and a command line with help

Bundles hold the files compressed by Brotli, with a size check that tells by how much a set is too large and a bound on decompression; the digest is unchanged. Commands are described by a table from which the help, the parsing and the checks are built; audit is new.

The test "is refused when its digest does not fit its files" altered the plain files of a bundle; as these are compressed now, it alters them inside and asks for the digest's place to be named, which is stricter.

--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -2,51 +2,79 @@
 import {parseArgs} from 'node:util';
 import type {ParseArgsConfig} from 'node:util';
 import {RouterError} from '@buckthornbeam/shared';
+import type {Command, CommandArguments} from './command.js';
 
-type Options = NonNullable<ParseArgsConfig['options']>;
-
-type ParsedArguments<T extends Options> = ReturnType<
-  typeof parseArgs<{
-    args: string[];
-    options: T;
-    allowPositionals: true;
-    strict: true;
-  }>
->;
+function parseOrThrow(args: string[], command: Command) {
+  const options: NonNullable<ParseArgsConfig['options']> = {};
+  for (const [name, option] of Object.entries(command.options ?? {})) {
+    options[name] = {type: option.value === undefined ? 'boolean' : 'string'};
+  }
+  try {
+    return parseArgs({args, options, allowPositionals: true, strict: true});
+  } catch (error) {
+    throw new RouterError('usage', (error as Error).message);
+  }
+}
 
-/** Parses arguments; throws `usage` when they do not fit. */
-export function parseArguments<T extends Options>(
-  args: string[],
-  options: T,
-  positionalNames: readonly string[] = [],
-): ParsedArguments<T> {
-  const parsed = parseOrThrow(args, options);
-  const missing = positionalNames[parsed.positionals.length];
-  if (missing !== undefined) {
+function checkPositionals(names: readonly string[], given: string[]): void {
+  const missing = names[given.length];
+  if (missing !== undefined && !missing.startsWith('[')) {
     throw new RouterError('usage', `the argument ${missing} is missing`);
   }
-  if (parsed.positionals.length > positionalNames.length) {
-    const extra = parsed.positionals[positionalNames.length];
+  if (given.length > names.length) {
+    const extra = given[names.length];
     throw new RouterError('usage', `the argument "${extra}" is not expected`);
   }
-  return parsed;
 }
 
-function parseOrThrow<T extends Options>(
+function checkRequired(
+  command: Command,
+  values: ReadonlyMap<string, string>,
+): void {
+  for (const [name, option] of Object.entries(command.options ?? {})) {
+    if (option.isRequired && !values.has(name)) {
+      throw new RouterError('usage', `the option --${name} is missing`);
+    }
+  }
+}
+
+/** Parses the arguments of a command; throws `usage` when they do not fit. */
+export function parseArguments(
   args: string[],
-  options: T,
-): ParsedArguments<T> {
-  try {
-    return parseArgs({args, options, allowPositionals: true, strict: true});
-  } catch (error) {
-    throw new RouterError('usage', (error as Error).message);
+  command: Command,
+): CommandArguments {
+  const parsed = parseOrThrow(args, command);
+  const flags = new Set<string>();
+  const values = new Map<string, string>();
+  for (const [name, value] of Object.entries(parsed.values)) {
+    if (typeof value === 'string') {
+      values.set(name, value);
+    } else if (value === true) {
+      flags.add(name);
+    }
   }
+  checkPositionals(command.positionals ?? [], parsed.positionals);
+  checkRequired(command, values);
+  return {positionals: parsed.positionals, flags, values};
 }
 
-/** Returns the value of an option that has to be given. */
-export function getRequired(value: string | undefined, name: string): string {
-  if (value === undefined) {
-    throw new RouterError('usage', `the option --${name} is missing`);
+/** Reads an option as a number within bounds; throws `usage`. */
+export function parseNumber(
+  given: CommandArguments,
+  name: string,
+  fallback: number,
+  maximum: number,
+): number {
+  const text = given.values.get(name);
+  if (text === undefined) {
+    return fallback;
+  }
+  const value = Number(text);
+  if (!(value > 0 && value <= maximum)) {
+    throw new RouterError(
+      'usage',
+      `--${name} has to be a number above 0 and at most ${maximum}`,
+    );
   }
   return value;
 }
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -10,10 +10,27 @@
 } as const;
 export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
 
+/** One option; `value` names its argument, flags have none. */
+export interface CommandOption {
+  value?: string;
+  description: string;
+  isRequired?: boolean;
+}
+
+/** Arguments after their checks. */
+export interface CommandArguments {
+  positionals: string[];
+  flags: ReadonlySet<string>;
+  values: ReadonlyMap<string, string>;
+}
+
 /** A command by its name. */
 export interface Command {
-  /** Arguments as the help shows them. */
-  usage: string;
   summary: string;
-  run: (args: string[]) => Promise<ExitCode>;
+  /** Longer text for `--help`, one line an entry. */
+  details?: readonly string[];
+  /** Names of the arguments; a name in brackets may be left out. */
+  positionals?: readonly string[];
+  options?: Record<string, CommandOption>;
+  run: (given: CommandArguments) => Promise<ExitCode>;
 }
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,7 +1,6 @@
 /** `buckthornbeam serve`: runs one entry instance. */
 import {loadSettings} from '@buckthornbeam/config';
 import {createRouter} from '@buckthornbeam/router';
-import {getRequired, parseArguments} from '../arguments.js';
 import {ExitCode} from '../command.js';
 import type {Command} from '../command.js';
 
@@ -13,11 +12,20 @@
 }
 
 export const serveCommand: Command = {
-  usage: 'serve --settings FILE',
   summary: 'Run one entry instance until SIGTERM.',
-  run: async args => {
-    const {values} = parseArguments(args, {settings: {type: 'string'}});
-    const settings = loadSettings(getRequired(values.settings, 'settings'));
+  details: [
+    'Log lines go to standard error. SIGTERM and SIGINT end it gracefully:',
+    'no new request is taken, and those under way run to their end.',
+  ],
+  options: {
+    settings: {
+      value: 'FILE',
+      description: 'settings of this process, JSON',
+      isRequired: true,
+    },
+  },
+  run: async given => {
+    const settings = loadSettings(given.values.get('settings')!);
     const router = createRouter({settings});
     const stopped = waitForSignal();
     await router.start();
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -1,14 +1,18 @@
 /** The table of commands. */
-import {errorTable, toRouterError} from '@buckthornbeam/shared';
 import {ConfigError} from '@buckthornbeam/config';
+import {errorTable, toRouterError} from '@buckthornbeam/shared';
+import {parseArguments} from './arguments.js';
 import {ExitCode} from './command.js';
 import type {Command} from './command.js';
+import {auditCommand} from './commands/audit.js';
 import {bundleCommand} from './commands/bundle.js';
 import {checkCommand} from './commands/check.js';
 import {diffCommand} from './commands/diff.js';
-import {entriesCommand, statusCommand} from './commands/remote.js';
+import {entriesCommand} from './commands/entries.js';
 import {serveCommand} from './commands/serve.js';
-import {printCheckErrors, printLine} from './output.js';
+import {statusCommand} from './commands/status.js';
+import {printCommandHelp, printHelp} from './help.js';
+import {printCheckErrors, printNote} from './output.js';
 
 const commands: Record<string, Command> = {
   serve: serveCommand,
@@ -17,40 +21,37 @@
   diff: diffCommand,
   status: statusCommand,
   entries: entriesCommand,
+  audit: auditCommand,
 };
 
-function printHelp(): void {
-  printLine('Usage: buckthornbeam COMMAND [OPTIONS]');
-  for (const {usage, summary} of Object.values(commands)) {
-    printLine(`  ${usage.padEnd(32)} ${summary}`);
-  }
-}
-
 function reportError(error: unknown): ExitCode {
   if (error instanceof ConfigError) {
-    printCheckErrors(error.errors);
+    printCheckErrors(error.errors, printNote);
     return ExitCode.INVALID;
   }
   const {code, message} = toRouterError(error);
-  process.stderr.write(`${code}: ${message}. ${errorTable[code].advice}\n`);
+  printNote(`${code}: ${message}. ${errorTable[code].advice}`);
   return code === 'usage' ? ExitCode.INVALID : ExitCode.FAILURE;
 }
 
 /** Runs the command line and returns the exit code. */
 export async function runCommandLine(args: string[]): Promise<ExitCode> {
   const [name = '--help', ...rest] = args;
-  const command = Object.hasOwn(commands, name) ? commands[name] : undefined;
-  if (!command) {
-    printHelp();
-    return name === '--help' ? ExitCode.OK : ExitCode.INVALID;
+  if (name === '--help') {
+    printHelp(commands);
+    return ExitCode.OK;
+  }
+  if (!Object.hasOwn(commands, name)) {
+    printNote(`usage: there is no command "${name}". See --help.`);
+    return ExitCode.INVALID;
   }
+  const command = commands[name]!;
   if (rest.includes('--help')) {
-    printLine(`Usage: buckthornbeam ${command.usage}`);
-    printLine(command.summary);
+    printCommandHelp(name, command);
     return ExitCode.OK;
   }
   try {
-    return await command.run(rest);
+    return await command.run(parseArguments(rest, command));
   } catch (error) {
     return reportError(error);
   }
--- a/packages/config/__tests__/file_set.spec.ts
+++ b/packages/config/__tests__/file_set.spec.ts
@@ -1,8 +1,10 @@
 import {fileURLToPath} from 'node:url';
+import {brotliCompressSync} from 'node:zlib';
 import * as assert from 'uvu/assert';
 import {describe, it} from '@buckthornbeam/testing';
 import {
   ConfigError,
+  MAXIMUM_BUNDLE_BYTES,
   checkFiles,
   decodeBundle,
   encodeBundle,
@@ -14,6 +16,17 @@
   new URL('../../../../examples/tunis', import.meta.url),
 );
 
+/** Paths of the errors for which a bundle is refused. */
+function listRefusals(text: string): string[] {
+  try {
+    decodeBundle(text);
+  } catch (error) {
+    assert.instance(error, ConfigError);
+    return (error as ConfigError).errors.map(({path}) => path);
+  }
+  return [];
+}
+
 describe('file set', () => {
   describe('bundle', () => {
     it('gives back the same version', () => {
@@ -22,12 +35,29 @@
     });
 
     it('is refused when its digest does not fit its files', () => {
-      const bundle = JSON.parse(encodeBundle(loadFileSet(tunis)));
-      bundle.files['service.json'].revision = 9;
-      assert.throws(
-        () => decodeBundle(JSON.stringify(bundle)),
-        (error: Error) => error instanceof ConfigError,
-      );
+      const set = loadFileSet(tunis);
+      const changed = structuredClone(set.files);
+      changed['service.json'].revision = 9;
+      const bundle = JSON.parse(encodeBundle(set));
+      bundle.compressedFiles = brotliCompressSync(
+        JSON.stringify(changed),
+      ).toString('base64');
+      assert.equal(listRefusals(JSON.stringify(bundle)), ['/digest']);
+    });
+
+    it('is refused when it is cut, foreign, or grows beyond bounds', () => {
+      const whole = encodeBundle(loadFileSet(tunis));
+      const encodeFiles = (text: string) =>
+        JSON.stringify({
+          digest: '',
+          compressedFiles: brotliCompressSync(text).toString('base64'),
+        });
+      assert.equal(listRefusals(whole.slice(0, -9)), ['/']);
+      assert.equal(listRefusals('null'), ['/compressedFiles']);
+      assert.equal(listRefusals(whole.replace('":"', '":"x')), ['/digest']);
+      assert.equal(listRefusals(' '.repeat(MAXIMUM_BUNDLE_BYTES + 1)), ['/']);
+      const huge = encodeFiles(' '.repeat(64 * 1024 * 1024));
+      assert.equal(listRefusals(huge), ['/compressedFiles']);
     });
   });
 
--- a/packages/config/src/bundle.ts
+++ b/packages/config/src/bundle.ts
@@ -1,145 +1,99 @@
-/** Bundles: a file set as the one value that the configuration service holds. */
-import {RouterError, computeDigest} from '@buckthornbeam/shared';
-import {checkAcrossFiles} from './cross_checks.js';
-import type {FileName, FileSet, FileSetFiles} from './file_set.js';
-import {checkAgainstSchema} from './schema_check.js';
-import type {CheckError} from './schema_check.js';
+/**
+ * Bundles: a file set as the one value that the configuration service holds.
+ * The files are compressed, as a value has at most a megabyte.
+ */
+import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
+import {ConfigError, createFileSet} from './create_file_set.js';
+import type {FileSet} from './file_set.js';
 
-/** File names of a set, each with the name of its schema. */
-export const fileSchemas: Record<FileName, string> = {
-  'service.json': 'service',
-  'classes.json': 'classes',
-  'customers.json': 'customers',
-  'models.json': 'models',
-  'data-centres.json': 'data-centres',
-  'backend-servers.json': 'backend-servers',
-  'plain-services.json': 'plain-services',
-};
+/** Size of a value that the configuration service takes, in bytes. */
+export const MAXIMUM_BUNDLE_BYTES = 1_000_000;
 
-export const fileNames = Object.keys(fileSchemas) as FileName[];
+/** Size of the files after decompression; more is refused, in bytes. */
+const MAXIMUM_FILES_BYTES = 32 * 1024 * 1024;
 
-/** Errors of a file set or of settings, with every place that is wrong. */
-export class ConfigError extends RouterError {
-  constructor(
-    code: 'invalid_file_set' | 'invalid_settings',
-    readonly errors: readonly CheckError[],
-  ) {
-    super(
-      code,
-      errors
-        .map(error => `${error.file}${error.path}: ${error.expected}`)
-        .join('; '),
-    );
-  }
-}
+/** Beyond this quality, time grows by far more than size falls. */
+const COMPRESSION_QUALITY = 9;
 
-/** Checks parsed files; an empty list means that they form a valid set. */
-export function checkFiles(files: Record<string, unknown>): CheckError[] {
-  const errors = fileNames.flatMap(file =>
-    file in files
-      ? checkAgainstSchema(fileSchemas[file], file, files[file])
-      : [
-          {
-            file,
-            path: '/',
-            expected: 'the file to be present',
-            advice: `Add ${file} to the file set.`,
-          },
-        ],
-  );
-  if (errors.length > 0) {
-    return errors;
-  }
-  return checkAcrossFiles(files as unknown as FileSetFiles);
+interface Bundle {
+  digest: string;
+  /** Files as JSON, compressed by Brotli, in base64. */
+  compressedFiles: string;
 }
 
-function indexBy<T>(items: readonly T[], getKey: (item: T) => string) {
-  return new Map(items.map(item => [getKey(item), item]));
+function makeBundleError(
+  path: string,
+  expected: string,
+  advice = 'Make the bundle anew with "buckthornbeam bundle".',
+): ConfigError {
+  return new ConfigError('invalid_file_set', [
+    {file: 'bundle', path, expected, advice},
+  ]);
 }
 
-/** Creates a file set from parsed files; throws a {@link ConfigError}. */
-export function createFileSet(parsed: Record<string, unknown>): FileSet {
-  const errors = checkFiles(parsed);
-  if (errors.length > 0) {
-    throw new ConfigError('invalid_file_set', errors);
+function checkSize(bytes: number): void {
+  if (bytes > MAXIMUM_BUNDLE_BYTES) {
+    throw makeBundleError(
+      '/',
+      `at most ${MAXIMUM_BUNDLE_BYTES} bytes, but it has ${bytes - MAXIMUM_BUNDLE_BYTES} more`,
+      'Remove customers or backend servers that are no longer used.',
+    );
   }
-  const files = parsed as unknown as FileSetFiles;
-  return {
-    version: {
-      revision: files['service.json'].revision,
-      digest: computeDigest(encodeCanonical(files)),
-    },
-    files,
-    classes: indexBy(files['classes.json'].classes, item => item.name),
-    customers: indexBy(files['customers.json'].customers, item => item.id),
-    customersByKeyDigest: indexBy(
-      files['customers.json'].customers,
-      item => item.apiKeyDigest,
-    ),
-    models: indexBy(files['models.json'].models, item => item.name),
-    dataCentres: indexBy(
-      files['data-centres.json'].dataCentres,
-      item => item.id,
-    ),
-    servers: indexBy(
-      files['backend-servers.json'].backendServers,
-      item => item.id,
-    ),
-    services: indexBy(
-      files['plain-services.json'].plainServices,
-      item => item.name,
-    ),
-  };
 }
 
-/** Encodes files with sorted keys, so that equal sets have equal digests. */
-function encodeCanonical(value: unknown): string {
-  return JSON.stringify(value, (_key, item) =>
-    item !== null && typeof item === 'object' && !Array.isArray(item)
-      ? Object.fromEntries(
-          Object.entries(item).sort(([a], [b]) => (a < b ? -1 : 1)),
-        )
-      : item,
-  );
-}
-
-/** Encodes a file set as one JSON value. */
+/** Encodes a file set as one JSON value; throws when it is too large. */
 export function encodeBundle(set: FileSet): string {
-  return JSON.stringify({digest: set.version.digest, files: set.files});
+  const compressed = brotliCompressSync(JSON.stringify(set.files), {
+    params: {
+      [constants.BROTLI_PARAM_MODE]: constants.BROTLI_MODE_TEXT,
+      [constants.BROTLI_PARAM_QUALITY]: COMPRESSION_QUALITY,
+    },
+  });
+  const bundle: Bundle = {
+    digest: set.version.digest,
+    compressedFiles: compressed.toString('base64'),
+  };
+  const text = JSON.stringify(bundle);
+  checkSize(Buffer.byteLength(text));
+  return text;
 }
 
 /** Decodes and checks a bundle; throws a {@link ConfigError}. */
 export function decodeBundle(text: string): FileSet {
+  checkSize(Buffer.byteLength(text));
   const bundle = parseBundle(text);
-  const set = createFileSet(bundle.files);
+  const set = createFileSet(parseFiles(bundle.compressedFiles));
   if (bundle.digest !== set.version.digest) {
-    throw new ConfigError('invalid_file_set', [
-      {
-        file: 'bundle',
-        path: '/digest',
-        expected: `the digest of the files, ${set.version.digest}`,
-        advice: 'Make the bundle anew with "buckthornbeam bundle".',
-      },
-    ]);
+    throw makeBundleError(
+      '/digest',
+      `the digest of the files, ${set.version.digest}`,
+    );
   }
   return set;
 }
 
-function parseBundle(text: string): {
-  digest: unknown;
-  files: Record<string, unknown>;
-} {
+function parseBundle(text: string): Partial<Bundle> {
   try {
-    const value = JSON.parse(text);
-    return {digest: value?.digest, files: value?.files ?? {}};
+    return (JSON.parse(text) ?? {}) as Partial<Bundle>;
   } catch (error) {
-    throw new ConfigError('invalid_file_set', [
-      {
-        file: 'bundle',
-        path: '/',
-        expected: `valid JSON (${(error as Error).message})`,
-        advice: 'Make the bundle anew with "buckthornbeam bundle".',
-      },
-    ]);
+    throw makeBundleError('/', `valid JSON (${(error as Error).message})`);
+  }
+}
+
+function parseFiles(compressed: unknown): Record<string, unknown> {
+  try {
+    const bytes = brotliDecompressSync(
+      Buffer.from(String(compressed), 'base64'),
+      {maxOutputLength: MAXIMUM_FILES_BYTES},
+    );
+    return (JSON.parse(bytes.toString('utf8')) ?? {}) as Record<
+      string,
+      unknown
+    >;
+  } catch (error) {
+    throw makeBundleError(
+      '/compressedFiles',
+      `compressed files (${(error as Error).message})`,
+    );
   }
 }
--- a/packages/config/src/cross_checks.ts
+++ b/packages/config/src/cross_checks.ts
@@ -4,58 +4,82 @@
 
 type Rule = (files: FileSetFiles) => CheckError[];
 
-function findDuplicates(
+/** Values that have to differ within one list of a file. */
+interface UniqueValues {
+  file: keyof FileSetFiles;
+  list: string;
+  field: string;
+}
+
+const uniqueValues: readonly UniqueValues[] = [
+  {file: 'classes.json', list: 'classes', field: 'name'},
+  {file: 'customers.json', list: 'customers', field: 'id'},
+  {file: 'customers.json', list: 'customers', field: 'apiKeyDigest'},
+  {file: 'models.json', list: 'models', field: 'name'},
+  {file: 'data-centres.json', list: 'dataCentres', field: 'id'},
+  {file: 'backend-servers.json', list: 'backendServers', field: 'id'},
+  {file: 'backend-servers.json', list: 'backendServers', field: 'address'},
+  {file: 'plain-services.json', list: 'plainServices', field: 'name'},
+];
+
+const MAXIMUM_PORT = 65_535;
+
+function findDoubles(
   file: string,
-  list: string,
+  path: string,
   keys: readonly string[],
+  field: string,
 ): CheckError[] {
-  const seen = new Set<string>();
+  const firstIndexes = new Map<string, number>();
   const errors: CheckError[] = [];
   keys.forEach((key, index) => {
-    if (seen.has(key)) {
-      errors.push({
-        file,
-        path: `/${list}/${index}`,
-        expected: `a unique name, but "${key}" stands twice`,
-        advice: 'Rename or remove one of the two.',
-      });
+    const first = firstIndexes.get(key);
+    if (first === undefined) {
+      firstIndexes.set(key, index);
+      return;
     }
-    seen.add(key);
+    errors.push({
+      file,
+      path: `${path}/${index}${field}`,
+      expected: `a value of its own, but "${key}" stands at ${path}/${first} too`,
+      advice: 'Change or remove one of the two.',
+    });
   });
   return errors;
 }
 
-const checkUniqueNames: Rule = files => [
-  ...findDuplicates(
-    'classes.json',
-    'classes',
-    files['classes.json'].classes.map(item => item.name),
-  ),
-  ...findDuplicates(
-    'customers.json',
-    'customers',
-    files['customers.json'].customers.map(item => item.id),
-  ),
-  ...findDuplicates(
-    'models.json',
-    'models',
-    files['models.json'].models.map(item => item.name),
-  ),
-  ...findDuplicates(
-    'data-centres.json',
-    'dataCentres',
-    files['data-centres.json'].dataCentres.map(item => item.id),
-  ),
-  ...findDuplicates(
-    'backend-servers.json',
-    'backendServers',
-    files['backend-servers.json'].backendServers.map(item => item.id),
-  ),
-  ...findDuplicates(
-    'plain-services.json',
-    'plainServices',
-    files['plain-services.json'].plainServices.map(item => item.name),
+const checkUniqueValues: Rule = files =>
+  uniqueValues.flatMap(({file, list, field}) => {
+    const items = (
+      files[file] as unknown as Record<string, Array<Record<string, string>>>
+    )[list]!;
+    const keys = items.map(item => item[field]!);
+    return findDoubles(file, `/${list}`, keys, `/${field}`);
+  });
+
+const checkUniqueWithinItems: Rule = files => [
+  ...files['backend-servers.json'].backendServers.flatMap((server, index) =>
+    findDoubles(
+      'backend-servers.json',
+      `/backendServers/${index}/models`,
+      server.models,
+      '',
+    ),
   ),
+  ...files['plain-services.json'].plainServices.flatMap((service, index) => [
+    ...findDoubles(
+      'plain-services.json',
+      `/plainServices/${index}/addresses`,
+      service.addresses,
+      '',
+    ),
+    ...findDoubles(
+      'plain-services.json',
+      `/plainServices/${index}/routes`,
+      service.routes.map(route => `${route.method} ${route.path}`),
+      '',
+    ),
+  ]),
 ];
 
 const checkServerReferences: Rule = files => {
@@ -87,6 +111,43 @@
   return errors;
 };
 
+function isPort(address: string): boolean {
+  const port = Number(address.slice(address.lastIndexOf(':') + 1));
+  return port >= 1 && port <= MAXIMUM_PORT;
+}
+
+function checkPort(file: string, path: string, address: string): CheckError[] {
+  return isPort(address)
+    ? []
+    : [
+        {
+          file,
+          path,
+          expected: `a port from 1 to ${MAXIMUM_PORT}, not "${address}"`,
+          advice: 'Correct the port.',
+        },
+      ];
+}
+
+const checkPorts: Rule = files => [
+  ...files['backend-servers.json'].backendServers.flatMap((server, index) =>
+    checkPort(
+      'backend-servers.json',
+      `/backendServers/${index}/address`,
+      server.address,
+    ),
+  ),
+  ...files['plain-services.json'].plainServices.flatMap((service, index) =>
+    service.addresses.flatMap((address, addressIndex) =>
+      checkPort(
+        'plain-services.json',
+        `/plainServices/${index}/addresses/${addressIndex}`,
+        address,
+      ),
+    ),
+  ),
+];
+
 const checkCapacities: Rule = files =>
   files['backend-servers.json'].backendServers.flatMap((server, index) =>
     server.capacity.startingRequests <= server.capacity.requests
@@ -118,11 +179,58 @@
       ];
 };
 
+const checkTargets: Rule = files => {
+  const {maximumRequestMs} = files['service.json'];
+  return files['classes.json'].classes.flatMap((item, index) => {
+    const {firstTokenMs, completionMs} = item.targets;
+    const path = `/classes/${index}/targets`;
+    const errors: CheckError[] = [];
+    if (completionMs > maximumRequestMs) {
+      errors.push({
+        file: 'classes.json',
+        path: `${path}/completionMs`,
+        expected: `at most ${maximumRequestMs}, maximumRequestMs of service.json`,
+        advice: 'Lower the target, or raise maximumRequestMs.',
+      });
+    }
+    if (firstTokenMs > completionMs) {
+      errors.push({
+        file: 'classes.json',
+        path: `${path}/firstTokenMs`,
+        expected: `at most ${completionMs}, completionMs of the class`,
+        advice: 'Lower firstTokenMs, or raise completionMs.',
+      });
+    }
+    return errors;
+  });
+};
+
+const checkServicePaths: Rule = files =>
+  files['plain-services.json'].plainServices.flatMap((service, index) =>
+    service.routes.flatMap((route, routeIndex) => {
+      const {pathname} = new URL(route.path, 'http://service');
+      return pathname === route.path
+        ? []
+        : [
+            {
+              file: 'plain-services.json',
+              path: `/plainServices/${index}/routes/${routeIndex}/path`,
+              expected: `a plain path such as "${pathname}"`,
+              advice: 'Write the path without query, dots or special signs.',
+            },
+          ];
+    }),
+  );
+
 const rules: readonly Rule[] = [
-  checkUniqueNames,
+  checkUniqueValues,
+  checkUniqueWithinItems,
   checkServerReferences,
+  checkPorts,
   checkCapacities,
   checkShares,
+  checkTargets,
+  checkServicePaths,
 ];
 
 /** Checks the rules between files; an empty list means valid. */
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,11 +1,7 @@
 /** File sets of the operators and settings of a process. */
-export {
-  ConfigError,
-  checkFiles,
-  createFileSet,
-  decodeBundle,
-  encodeBundle,
-} from './bundle.js';
+export {checkAgainstBase, createFileSetOnBase} from './base.js';
+export {MAXIMUM_BUNDLE_BYTES, decodeBundle, encodeBundle} from './bundle.js';
+export {ConfigError, checkFiles, createFileSet} from './create_file_set.js';
 export {diffFileSets} from './diff.js';
 export type {FileSetChange} from './diff.js';
 export {OwnershipScope, ServiceState} from './file_set.js';
@@ -36,3 +32,5 @@
   SettingsFile,
   Timing,
 } from './settings.js';
+export {listWarnings} from './warnings.js';
+export type {CheckWarning} from './warnings.js';
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -188,6 +188,11 @@
     title: 'The configuration service gives no answer.',
     advice: 'Nothing to do: the last accepted file set stays in force.',
   },
+  instance_unreachable: {
+    status: 502,
+    title: 'The instance gives no answer.',
+    advice: 'Check the address, and that the instance runs.',
+  },
   usage: {
     status: 400,
     title: 'The command line is not valid.',
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -4,7 +4,7 @@
 export {RouterError, errorTable, isErrorCode, toRouterError} from './errors.js';
 export type {ErrorCode, RouterErrorOptions} from './errors.js';
 export {computeDigest, hashToUint32, rankByRendezvous} from './hash.js';
-export {LogLevel, createLogger, formatFields} from './logs.js';
+export {LogLevel, createLogger, formatFields, parseFields} from './logs.js';
 export type {LogFields, LogValue, Logger, LoggerOptions} from './logs.js';
 export {createMailbox} from './mailbox.js';
 export type {
--- a/packages/shared/src/logs.ts
+++ b/packages/shared/src/logs.ts
@@ -55,6 +55,28 @@
   return pairs.join(' ');
 }
 
+const PAIR = /([\w.-]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)/g;
+
+function parseValue(text: string): string {
+  if (!text.startsWith('"')) {
+    return text;
+  }
+  try {
+    return String(JSON.parse(text));
+  } catch {
+    return text;
+  }
+}
+
+/** Parses the `key=value` pairs of a line; other text is left out. */
+export function parseFields(line: string): Record<string, string> {
+  const fields: Record<string, string> = {};
+  for (const [, key, value] of line.matchAll(PAIR)) {
+    fields[key!] = parseValue(value!);
+  }
+  return fields;
+}
+
 let loggerCount = 0;
 
 /** Creates a logger on top of loglevel. */
