feat(stand-ins): measure the control cost of an entry in fleets of growing size

Cause: nothing measured what heartbeats, load reports and watches cost an entry. Change: peer servers count bytes and calls, shown in the status; 'npm run capacity' starts fleets of idle entries with the customers and servers per entry of the target size, and carries the slopes on to 420 entries. The large file set moves to the stand-ins, which use it too.

--- a/packages/router/src/peer_server.ts
+++ b/packages/router/src/peer_server.ts
@@ -1,23 +1,57 @@
 /** The server for the other instances: connect services over HTTP/2. */
 import {createServer} from 'node:http2';
 import type {Http2Server, ServerHttp2Session} from 'node:http2';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {ListenAddress} from '@buckthornbeam/config';
 
+/** Totals of the connections that peers opened, since the start. */
+export interface PeerTraffic {
+  bytesIn: number;
+  bytesOut: number;
+  calls: number;
+}
+
 /** A listening peer server. */
 export interface PeerServer {
   readonly address: string;
+  getTraffic(): PeerTraffic;
   close(): Promise<void>;
 }
 
+/** Counts the bytes and calls of a server over open and closed connections. */
+function trackTraffic(server: Http2Server): () => PeerTraffic {
+  const closed: PeerTraffic = {bytesIn: 0, bytesOut: 0, calls: 0};
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+      closed.bytesIn += socket.bytesRead;
+      closed.bytesOut += socket.bytesWritten;
+    });
+  });
+  server.on('stream', () => {
+    closed.calls += 1;
+  });
+  return () => {
+    const traffic = {...closed};
+    for (const socket of sockets) {
+      traffic.bytesIn += socket.bytesRead;
+      traffic.bytesOut += socket.bytesWritten;
+    }
+    return traffic;
+  };
+}
+
 /** Starts a peer server with the given services. */
 export async function startPeerServer(
   listen: ListenAddress,
   routes: (router: ConnectRouter) => void,
 ): Promise<PeerServer> {
   const server: Http2Server = createServer(connectNodeAdapter({routes}));
+  const getTraffic = trackTraffic(server);
   const sessions = new Set<ServerHttp2Session>();
   server.on('session', session => {
     sessions.add(session);
@@ -30,6 +64,7 @@
   const {address, port} = server.address() as AddressInfo;
   return {
     address: `${address}:${port}`,
+    getTraffic,
     close: () =>
       new Promise(resolve => {
         for (const session of sessions) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -125,6 +125,7 @@
     issuer,
     findFileSet,
     isLeaving: () => isLeaving,
+    getPeerTraffic: () => peerServer!.getTraffic(),
   });
 
   async function executeTicket(request: ExecuteTicketRequest) {
--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -5,6 +5,7 @@
 import type {Clock, Logger, RandomSource} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
+import type {PeerTraffic} from '../peer_server.js';
 import {createAdmission} from './admission.js';
 import type {AdmittedRequest} from './admission.js';
 import type {AnswerChunk, ChatRequest} from './chat_request.js';
@@ -37,6 +38,7 @@
   issuer: Issuer;
   findFileSet: () => FileSet | undefined;
   isLeaving: () => boolean;
+  getPeerTraffic: () => PeerTraffic;
 }
 
 /** The entry task. */
@@ -155,6 +157,7 @@
         owner,
         fileSet: options.findFileSet(),
         isLeaving: options.isLeaving(),
+        peerTraffic: options.getPeerTraffic(),
       }),
   };
 }
--- a/packages/router/src/tasks/status.ts
+++ b/packages/router/src/tasks/status.ts
@@ -2,6 +2,7 @@
 import type {FileSet} from '@buckthornbeam/config';
 import type {Identity} from '../identity.js';
 import type {Member} from './member.js';
+import type {PeerTraffic} from '../peer_server.js';
 import type {Owner} from './owner.js';
 
 /** Options of {@link describeStatus}. */
@@ -11,13 +12,14 @@
   owner: Owner;
   fileSet: FileSet | undefined;
   isLeaving: boolean;
+  peerTraffic: PeerTraffic;
 }
 
 /** Describes the instance as a value for JSON. */
 export function describeStatus(
   options: StatusOptions,
 ): Record<string, unknown> {
-  const {identity, member, owner, fileSet, isLeaving} = options;
+  const {identity, member, owner, fileSet, isLeaving, peerTraffic} = options;
   const loads = new Map(owner.listLoads().map(load => [load.serverId, load]));
   return {
     instance: identity.instanceId,
@@ -26,6 +28,7 @@
     ready: fileSet !== undefined,
     leaving: isLeaving,
     fileSet: fileSet?.version ?? null,
+    peerTraffic,
     peers: member.listPeers().map(peer => ({
       id: peer.id,
       state: peer.state,
--- a/packages/config/__tests__/large_file_set.spec.ts
+++ b/packages/stand_ins/__tests__/large_file_set.spec.ts
@@ -5,8 +5,8 @@
   MAXIMUM_BUNDLE_BYTES,
   decodeBundle,
   encodeBundle,
-} from '../src/index.js';
-import {createLargeFileSet} from './large_file_set.js';
+} from '@buckthornbeam/config';
+import {createLargeFileSet} from '../src/capacity/large_file_set.js';
 
 describe('large file set', () => {
   it('of 12,000 customers, 39 models and 2,000 servers fits one value', () => {
--- a/packages/config/__tests__/large_file_set.ts
+++ b/packages/stand_ins/src/capacity/large_file_set.ts
@@ -1,7 +1,7 @@
 /** A file set of the size to build for, made from a seed. */
 import {computeDigest, createRandom} from '@buckthornbeam/shared';
-import {createFileSet} from '../src/index.js';
-import type {FileSet} from '../src/index.js';
+import {createFileSet} from '@buckthornbeam/config';
+import type {FileSet} from '@buckthornbeam/config';
 
 /** Sizes of {@link createLargeFileSet}. */
 export interface LargeFileSetOptions {
--- /dev/null
+++ b/packages/stand_ins/src/capacity/main.ts
@@ -0,0 +1,102 @@
+/**
+ * `npm run capacity`: control cost per entry for fleets of growing size, and
+ * what its slope gives at the size to build for.
+ */
+import {parseArgs} from 'node:util';
+import {measureFleet} from './measure_fleet.js';
+import type {FleetCost} from './measure_fleet.js';
+import {computeAt, computeLine} from './slope.js';
+import type {Line} from './slope.js';
+
+/** Size to build for. */
+const TARGET_ENTRIES = 420;
+/** Largest cost of control that one entry may have. */
+const LIMITS = {
+  peerBytesPerSecond: 6 * 1024,
+  cpuShare: 0.028,
+  residentBytes: 128 * 1024 * 1024,
+} as const;
+
+type Figure = keyof typeof LIMITS;
+
+/** A figure carried on to the target size. */
+interface Projection extends Line {
+  atTarget: number;
+  limit: number;
+  isWithinLimit: boolean;
+}
+
+const SERVERS_PER_ENTRY = 5;
+const CUSTOMERS = 12_000;
+const ENTRIES_PER_DATA_CENTRE = 47;
+const SETTLE_MS = 3000;
+
+function computeProjection(
+  figure: Figure,
+  costs: readonly FleetCost[],
+): Projection {
+  const line = computeLine(
+    costs.map(cost => ({x: cost.entries, y: cost[figure]})),
+  );
+  const atTarget = computeAt(line, TARGET_ENTRIES);
+  const limit = LIMITS[figure];
+  return {...line, atTarget, limit, isWithinLimit: atTarget <= limit};
+}
+
+function printTable(
+  costs: readonly FleetCost[],
+  projections: Record<Figure, Projection>,
+): void {
+  for (const cost of costs) {
+    process.stdout.write(
+      `${String(cost.entries).padStart(4)} entries: ` +
+        `${cost.peerBytesPerSecond.toFixed(0)} B/s, ` +
+        `${cost.peerCallsPerSecond.toFixed(1)} calls/s, ` +
+        `${(100 * cost.cpuShare).toFixed(2)} % of a core, ` +
+        `${(cost.residentBytes / 2 ** 20).toFixed(0)} MiB, ` +
+        `platform ${cost.platformCallsPerSecond.toFixed(2)} calls/s\n`,
+    );
+  }
+  for (const [figure, projection] of Object.entries(projections)) {
+    const verdict = projection.isWithinLimit ? 'within' : 'over';
+    process.stdout.write(
+      `${figure} at ${TARGET_ENTRIES}: ${projection.atTarget.toPrecision(4)}, ` +
+        `${verdict} ${projection.limit}\n`,
+    );
+  }
+}
+
+async function runCapacity(): Promise<void> {
+  const {values} = parseArgs({
+    options: {
+      json: {type: 'boolean', default: false},
+      sizes: {type: 'string', default: '4,8,16,32'},
+      seconds: {type: 'string', default: '10'},
+    },
+  });
+  const costs: FleetCost[] = [];
+  for (const size of values.sizes.split(',').map(Number)) {
+    costs.push(
+      await measureFleet({
+        entries: size,
+        customers: CUSTOMERS,
+        serversPerEntry: SERVERS_PER_ENTRY,
+        entriesPerDataCentre: ENTRIES_PER_DATA_CENTRE,
+        settleMs: SETTLE_MS,
+        durationMs: Number(values.seconds) * 1000,
+      }),
+    );
+  }
+  const projections = {
+    peerBytesPerSecond: computeProjection('peerBytesPerSecond', costs),
+    cpuShare: computeProjection('cpuShare', costs),
+    residentBytes: computeProjection('residentBytes', costs),
+  };
+  if (values.json) {
+    process.stdout.write(`${JSON.stringify({costs, projections}, null, 2)}\n`);
+  } else {
+    printTable(costs, projections);
+  }
+}
+
+await runCapacity();
