--- a/packages/decisions/src/attempt.ts
+++ b/packages/decisions/src/attempt.ts
@@ -1,28 +1,51 @@
 /** How far an attempt got, and what that says about its execution. */
-import {Outcome} from '@buckthornbeam/shared';
+import {Outcome, loadChart} from '@buckthornbeam/shared';
 
-/** Facts about an attempt, recorded in the order in which they happen. */
-export interface AttemptProgress {
-  /** The request may have left this process. */
-  bytesWritten: boolean;
+/** Facts about an attempt, recorded as they happen. */
+export const AttemptEvent = {
+  /** The first byte of the request may have left this process. */
+  WRITTEN: 'written',
   /** The back end proved that it did not run the request. */
-  refusedByServer: boolean;
+  REFUSED: 'refused',
+  /** The answer began; a later refusal proves nothing. */
+  ANSWERING: 'answering',
   /** The terminator of the answer arrived. */
-  terminated: boolean;
+  TERMINATED: 'terminated',
+} as const;
+export type AttemptEvent = (typeof AttemptEvent)[keyof typeof AttemptEvent];
+
+/** The record of one attempt. */
+export interface AttemptRecord {
+  /** Adds a fact; facts that cannot follow the earlier ones change nothing. */
+  record(event: AttemptEvent): void;
+  /** Tells what is known about the execution so far. */
+  getOutcome(): Outcome;
 }
 
-/** Creates the progress of an attempt that has not begun. */
-export function createAttemptProgress(): AttemptProgress {
-  return {bytesWritten: false, refusedByServer: false, terminated: false};
+const chart = loadChart(new URL('./charts/attempt.json', import.meta.url));
+
+/** The one place that decides what an attempt's record proves. */
+const outcomes: Readonly<Record<string, Outcome>> = {
+  unsent: Outcome.NOT_RUN,
+  sent: Outcome.UNKNOWN,
+  answering: Outcome.UNKNOWN,
+  refused: Outcome.NOT_RUN,
+  terminated: Outcome.COMPLETED,
+};
+
+/** Creates the record of an attempt that has not begun. */
+export function createAttemptRecord(): AttemptRecord {
+  let state = chart.initial;
+  return {
+    record: event => {
+      state = chart.step(state, event);
+    },
+    getOutcome: () => outcomes[state] ?? Outcome.UNKNOWN,
+  };
 }
 
-/** Tells the outcome of an attempt. */
-export function resolveOutcome(progress: AttemptProgress): Outcome {
-  if (progress.terminated) {
-    return Outcome.COMPLETED;
-  }
-  if (!progress.bytesWritten || progress.refusedByServer) {
-    return Outcome.NOT_RUN;
-  }
-  return Outcome.UNKNOWN;
+/** Whether a connection error of undici or the system came before any byte. */
+export function isConnectFailure(error: unknown): boolean {
+  const {code, syscall} = error as {code?: string; syscall?: string};
+  return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,12 @@
 /** Pure decisions: they take state, a message and the time. */
-export {createAttemptProgress, resolveOutcome} from './attempt.js';
-export type {AttemptProgress} from './attempt.js';
+export {
+  AttemptEvent,
+  createAttemptRecord,
+  isConnectFailure,
+} from './attempt.js';
+export type {AttemptRecord} from './attempt.js';
+export {createKeyHome} from './key_home.js';
+export type {KeyClaim, KeyHome, KeyHomeOptions} from './key_home.js';
 export {computeRelativeLoad, placeRequest} from './placement.js';
 export type {PlacementCandidate} from './placement.js';
 export {createServerQueue} from './server_queue.js';
@@ -11,13 +17,23 @@
   ServerQueue,
   ServerQueueOptions,
 } from './server_queue.js';
-export {decodeTicket, encodeTicket} from './ticket.js';
-export type {Ticket} from './ticket.js';
+export {
+  computeBodyDigest,
+  decodeTicket,
+  encodeTicket,
+  formatTicketId,
+  validateTicketCall,
+} from './ticket.js';
+export type {Ticket, TicketCall} from './ticket.js';
 export {TicketState, createTicketTable} from './ticket_table.js';
 export type {
+  IncarnationTickets,
   TicketDecision,
+  TicketHandOver,
+  TicketRecord,
   TicketResult,
   TicketTable,
+  TicketTableOptions,
 } from './ticket_table.js';
 export {createTokenBucket} from './token_bucket.js';
 export type {TokenBucket, TokenBucketOptions} from './token_bucket.js';
--- /dev/null
+++ b/packages/decisions/src/ticket_check/main.ts
@@ -0,0 +1,39 @@
+/** `npm run check:tickets`: the model check with and without a planted fault. */
+import {parseArgs} from 'node:util';
+import {runExploration} from './explore.js';
+import {createTicketModel} from './model.js';
+
+const DEFAULT_DEPTH = 8;
+const DEFAULT_FAULT_DEPTH = 10;
+
+const {values} = parseArgs({
+  options: {
+    json: {type: 'boolean', default: false},
+    depth: {type: 'string', default: String(DEFAULT_DEPTH)},
+    'fault-depth': {type: 'string', default: String(DEFAULT_FAULT_DEPTH)},
+  },
+});
+
+const startedAt = performance.now();
+const sound = runExploration(createTicketModel(), {
+  depth: Number(values.depth),
+});
+const planted = runExploration(
+  createTicketModel({isIncarnationChecked: false, tickets: 1}),
+  {depth: Number(values['fault-depth']), shouldStopAtViolation: true},
+);
+
+const report = {
+  states: sound.states,
+  depth: sound.depth,
+  violations: sound.violations,
+  firstViolation: sound.firstViolation ?? null,
+  violationsWithPlantedFault: planted.violations,
+  plantedFault: planted.firstViolation ?? null,
+  seconds: Math.round((performance.now() - startedAt) / 100) / 10,
+};
+const lines = Object.entries(report).map(([name, value]) => `${name}=${value}`);
+process.stdout.write(
+  values.json ? `${JSON.stringify(report)}\n` : `${lines.join('\n')}\n`,
+);
+process.exitCode = sound.violations === 0 && planted.violations > 0 ? 0 : 1;
--- /dev/null
+++ b/packages/decisions/src/ticket_check/model.ts
@@ -0,0 +1,447 @@
+/** Transitions of the ticket model, over the same table as the issuer uses. */
+import {Outcome} from '@buckthornbeam/shared';
+import {createKeyHome} from '../key_home.js';
+import {formatTicketId} from '../ticket.js';
+import {createTicketTable} from '../ticket_table.js';
+import type {
+  TicketDecision,
+  TicketResult,
+  TicketTable,
+} from '../ticket_table.js';
+import type {
+  ModelBudget,
+  ModelInstance,
+  ModelMessage,
+  ModelState,
+} from './state.js';
+
+/** Options of {@link createTicketModel}. */
+export interface TicketModelOptions {
+  /** False plants a fault: tickets of other incarnations are executed. */
+  isIncarnationChecked?: boolean;
+  /** Tickets that the callers get, over both keys. */
+  tickets?: number;
+  /** Most messages on the way at once. */
+  messages?: number;
+}
+
+/** The model as the explorer uses it. */
+export interface TicketModel {
+  readonly initial: ModelState;
+  listNextStates(state: ModelState): ModelState[];
+  /** Names the broken property, if any. */
+  findViolation(state: ModelState): string | undefined;
+}
+
+const INSTANCES = 3;
+const KEYS = 2;
+/** The home of both keys; a view that differs is a home that has forgotten. */
+const KEY_HOME = 2;
+const TABLE_CAPACITY = 1;
+const LIFETIME_MS = 10;
+
+const initialBudget: ModelBudget = {
+  replacements: 2,
+  freezes: 1,
+  duplicates: 1,
+  handOvers: 1,
+  expiries: 1,
+};
+
+function makeResult(outcome: Outcome): TicketResult {
+  const body = new Uint8Array();
+  return {outcome, code: '', detail: '', status: 0, contentType: '', body};
+}
+
+function formatIncarnation(index: number, run: number): string {
+  return `${index}.${run}`;
+}
+
+function replaceAt<T>(items: readonly T[], index: number, item: T): T[] {
+  return items.map((old, position) => (position === index ? item : old));
+}
+
+/** Creates the model. */
+export function createTicketModel(
+  options: TicketModelOptions = {},
+): TicketModel {
+  const {isIncarnationChecked = true, tickets = 2, messages = 4} = options;
+
+  function openTable(state: ModelState, index: number): TicketTable {
+    const {run, table} = state.instances[index]!;
+    return createTicketTable({
+      incarnation: formatIncarnation(index, run),
+      capacity: TABLE_CAPACITY,
+      lifetimeMs: LIFETIME_MS,
+      isIncarnationChecked,
+      snapshot: table,
+    });
+  }
+
+  function createInstance(index: number, run: number): ModelInstance {
+    const incarnation = formatIncarnation(index, run);
+    const table = createTicketTable({incarnation}).takeSnapshot();
+    return {run, status: 'up', table, keys: []};
+  }
+
+  function updateInstance(
+    state: ModelState,
+    index: number,
+    changes: Partial<ModelInstance>,
+  ): ModelState {
+    const changed = {...state.instances[index]!, ...changes};
+    return {...state, instances: replaceAt(state.instances, index, changed)};
+  }
+
+  function useBudget(state: ModelState, name: keyof ModelBudget): ModelState {
+    const {budget} = state;
+    return {...state, budget: {...budget, [name]: budget[name] - 1}};
+  }
+
+  function sendMessage(state: ModelState, message: ModelMessage): ModelState {
+    return {...state, messages: [...state.messages, message]};
+  }
+
+  function tellCaller(
+    state: ModelState,
+    ticket: number,
+    outcome: Outcome,
+  ): ModelState {
+    return outcome === Outcome.NOT_RUN
+      ? {...state, toldNotRun: replaceAt(state.toldNotRun, ticket, true)}
+      : state;
+  }
+
+  function findInstance(state: ModelState, incarnation: string): number {
+    return state.instances.findIndex(
+      ({run, status}, index) =>
+        status === 'up' && formatIncarnation(index, run) === incarnation,
+    );
+  }
+
+  /** Applies the table's decision at one instance. */
+  function claimAt(
+    state: ModelState,
+    index: number,
+    ticket: number,
+  ): ModelState {
+    const table = openTable(state, index);
+    const {run} = state.instances[index]!;
+    const decision = table.claim(state.tickets[ticket]!, state.now);
+    const claimed = updateInstance(state, index, {table: table.takeSnapshot()});
+    const handlers: {
+      [T in TicketDecision['type']]: (
+        item: Extract<TicketDecision, {type: T}>,
+      ) => ModelState;
+    } = {
+      execute: () =>
+        sendMessage(claimed, {
+          type: 'execute',
+          from: formatIncarnation(index, run),
+          ticket,
+        }),
+      wait: () => claimed,
+      replay: ({result}) => tellCaller(claimed, ticket, result.outcome),
+      refuse: ({outcome}) => tellCaller(claimed, ticket, outcome),
+    };
+    return handlers[decision.type](decision as never);
+  }
+
+  function storeAt(
+    state: ModelState,
+    index: number,
+    ticket: number,
+    outcome: Outcome,
+  ): ModelState {
+    const table = openTable(state, index);
+    table.store(state.tickets[ticket]!, makeResult(outcome));
+    const stored = updateInstance(state, index, {table: table.takeSnapshot()});
+    return tellCaller(stored, ticket, outcome);
+  }
+
+  function claimKeyAt(
+    state: ModelState,
+    index: number,
+    ticket: number,
+  ): {state: ModelState; isGranted: boolean} {
+    const home = createKeyHome();
+    const {keys} = state.instances[index]!;
+    for (const [key, holder] of keys) {
+      home.claim(key, holder, 0);
+    }
+    const item = state.tickets[ticket]!;
+    const ticketId = formatTicketId(item);
+    const {isGranted} = home.claim(String(item.key), ticketId, 0);
+    const isNew = isGranted && keys.every(([key]) => key !== String(item.key));
+    const added: Array<[string, string]> = [[String(item.key), ticketId]];
+    return {
+      isGranted,
+      state: isNew
+        ? updateInstance(state, index, {keys: [...keys, ...added]})
+        : state,
+    };
+  }
+
+  type MessageHandlers = {
+    [T in ModelMessage['type']]: (
+      state: ModelState,
+      message: Extract<ModelMessage, {type: T}>,
+    ) => ModelState | undefined;
+  };
+
+  function isUp(state: ModelState, index: number): boolean {
+    return state.instances[index]!.status === 'up';
+  }
+
+  /** A caller presents a ticket at an address, directly or by another entry. */
+  function presentAt(
+    state: ModelState,
+    index: number,
+    ticket: number,
+  ): ModelState | undefined {
+    if (openTable(state, index).hasRecord(state.tickets[ticket]!)) {
+      return claimAt(state, index, ticket);
+    }
+    if (!isUp(state, KEY_HOME)) {
+      return undefined;
+    }
+    const claim = claimKeyAt(state, KEY_HOME, ticket);
+    const to = formatIncarnation(index, state.instances[index]!.run);
+    return claim.isGranted
+      ? sendMessage(claim.state, {type: 'key_granted', to, ticket})
+      : claim.state;
+  }
+
+  /** Effects of a message that arrives; undefined while it cannot arrive. */
+  const handlers: MessageHandlers = {
+    key_granted: (state, {to, ticket}) => {
+      const index = findInstance(state, to);
+      return index < 0 ? undefined : claimAt(state, index, ticket);
+    },
+    execute: (state, {from, ticket}) => {
+      const executions = replaceAt(
+        state.executions,
+        ticket,
+        state.executions[ticket]! + 1,
+      );
+      return sendMessage(
+        {...state, executions},
+        {type: 'executed', to: from, ticket},
+      );
+    },
+    executed: (state, {to, ticket}) => {
+      const index = findInstance(state, to);
+      return index < 0
+        ? undefined
+        : storeAt(state, index, ticket, Outcome.COMPLETED);
+    },
+    adopt: (state, {to, handOver}) => {
+      if (!isUp(state, to)) {
+        return undefined;
+      }
+      const table = openTable(state, to);
+      table.adopt(handOver, state.now);
+      return updateInstance(state, to, {table: table.takeSnapshot()});
+    },
+  };
+
+  function removeMessage(state: ModelState, index: number): ModelState {
+    return {
+      ...state,
+      messages: state.messages.filter((_, position) => position !== index),
+    };
+  }
+
+  /** The executor learns that its connection failed, before or after a byte. */
+  function failExecution(
+    state: ModelState,
+    message: Extract<ModelMessage, {type: 'execute' | 'executed'}>,
+    outcome: Outcome,
+  ): ModelState | undefined {
+    const incarnation = message.type === 'execute' ? message.from : message.to;
+    const index = findInstance(state, incarnation);
+    return index < 0
+      ? undefined
+      : storeAt(state, index, message.ticket, outcome);
+  }
+
+  /** One single attempt: no library repeats these. */
+  const singleAttempt = new Set<ModelMessage['type']>(['execute', 'executed']);
+
+  function* walkMessages(state: ModelState): Generator<ModelState | undefined> {
+    for (const [index, message] of state.messages.entries()) {
+      const without = removeMessage(state, index);
+      const handler = handlers[message.type];
+      yield handler(without, message as never);
+      if (message.type === 'execute') {
+        yield failExecution(without, message, Outcome.NOT_RUN);
+        // The byte left, so the message itself may still arrive.
+        yield failExecution(state, message, Outcome.UNKNOWN);
+      }
+      if (message.type === 'executed') {
+        yield failExecution(without, message, Outcome.UNKNOWN);
+      }
+      // A lost message is one that stays on the way; no step is needed.
+      if (state.budget.duplicates > 0 && !singleAttempt.has(message.type)) {
+        yield handler(useBudget(state, 'duplicates'), message as never);
+      }
+    }
+  }
+
+  function* walkCallers(state: ModelState): Generator<ModelState | undefined> {
+    for (let issuer = 0; issuer < INSTANCES; issuer++) {
+      if (state.tickets.length >= tickets || !isUp(state, issuer)) {
+        continue;
+      }
+      const table = openTable(state, issuer);
+      const issued = table.issue(state.now);
+      const {run} = state.instances[issuer]!;
+      const issuerIncarnation = formatIncarnation(issuer, run);
+      const next = updateInstance(state, issuer, {table: table.takeSnapshot()});
+      // The keys are alike, so that the first ticket has the first key.
+      const keys = state.tickets.length === 0 ? 1 : KEYS;
+      for (let key = 0; key < keys; key++) {
+        const ticket = {...issued, issuer, issuerIncarnation, key};
+        yield {
+          ...next,
+          tickets: [...state.tickets, ticket],
+          executions: [...state.executions, 0],
+          toldNotRun: [...state.toldNotRun, false],
+        };
+      }
+    }
+    yield* walkPresentations(state);
+  }
+
+  /** Tickets go to their issuer's address and to who adopted them. */
+  function* walkPresentations(
+    state: ModelState,
+  ): Generator<ModelState | undefined> {
+    for (const [ticket, item] of state.tickets.entries()) {
+      for (let to = 0; to < INSTANCES; to++) {
+        const isTarget =
+          to === item.issuer ||
+          openTable(state, to).hasIncarnation(item.issuerIncarnation);
+        if (isTarget && isUp(state, to)) {
+          yield presentAt(state, to, ticket);
+        }
+      }
+    }
+  }
+
+  function* walkInstanceFaults(
+    state: ModelState,
+    index: number,
+  ): Generator<ModelState> {
+    const {run, status} = state.instances[index]!;
+    const {budget} = state;
+    if (budget.replacements > 0) {
+      const replaced = createInstance(index, run + 1);
+      yield {
+        ...updateInstance(useBudget(state, 'replacements'), index, replaced),
+        hasHomeForgotten: state.hasHomeForgotten || index === KEY_HOME,
+      };
+    }
+    if (status === 'up' && budget.freezes > 0) {
+      const frozen = useBudget(state, 'freezes');
+      yield updateInstance(frozen, index, {status: 'frozen'});
+    }
+    if (status === 'frozen') {
+      yield updateInstance(state, index, {status: 'up'});
+    }
+    if (status === 'up' && budget.handOvers > 0) {
+      yield* walkHandOvers(useBudget(state, 'handOvers'), index);
+    }
+  }
+
+  function* walkHandOvers(
+    state: ModelState,
+    index: number,
+  ): Generator<ModelState> {
+    for (let to = 0; to < INSTANCES; to++) {
+      if (to === index || !isUp(state, to)) {
+        continue;
+      }
+      const table = openTable(state, index);
+      const successor = formatIncarnation(to, state.instances[to]!.run);
+      let next: ModelState = state;
+      for (const handOver of table.handOver(successor, state.now)) {
+        next = sendMessage(next, {type: 'adopt', to, handOver});
+      }
+      // It still answers for a while before it is gone.
+      yield updateInstance(next, index, {table: table.takeSnapshot()});
+    }
+  }
+
+  /** A fault of an instance that holds nothing changes nothing. */
+  function isInvolved(state: ModelState, index: number): boolean {
+    const {run, table, keys} = state.instances[index]!;
+    const incarnation = formatIncarnation(index, run);
+    return (
+      keys.length > 0 ||
+      table.incarnations.length > 1 ||
+      table.incarnations[0]!.issued > 0 ||
+      state.messages.some(message =>
+        message.type === 'adopt'
+          ? message.to === index
+          : message.type !== 'execute' && message.to === incarnation,
+      )
+    );
+  }
+
+  function* walkFaults(state: ModelState): Generator<ModelState> {
+    for (let index = 0; index < INSTANCES; index++) {
+      if (isInvolved(state, index)) {
+        yield* walkInstanceFaults(state, index);
+      }
+    }
+    if (state.tickets.length > 0 && state.budget.expiries > 0) {
+      yield {
+        ...useBudget(state, 'expiries'),
+        now: state.now + LIFETIME_MS,
+      };
+    }
+  }
+
+  return {
+    initial: {
+      now: 0,
+      instances: Array.from({length: INSTANCES}, (_, index) =>
+        createInstance(index, 0),
+      ),
+      messages: [],
+      tickets: [],
+      executions: [],
+      toldNotRun: [],
+      hasHomeForgotten: false,
+      budget: initialBudget,
+    },
+    listNextStates: state =>
+      [
+        ...walkMessages(state),
+        ...walkCallers(state),
+        ...walkFaults(state),
+      ].filter(
+        (next): next is ModelState =>
+          next !== undefined && next.messages.length <= messages,
+      ),
+    findViolation: state => {
+      if (state.executions.some(count => count > 1)) {
+        return 'a ticket was executed more than once';
+      }
+      const isFalse = state.toldNotRun.some(
+        (isTold, ticket) => isTold && state.executions[ticket]! > 0,
+      );
+      if (isFalse) {
+        return 'a caller was told "not run" of a ticket that was executed';
+      }
+      const executedKeys = state.tickets
+        .filter((_, ticket) => state.executions[ticket]! > 0)
+        .map(ticket => ticket.key);
+      const isKeyRepeated = new Set(executedKeys).size < executedKeys.length;
+      return isKeyRepeated && !state.hasHomeForgotten
+        ? 'a key was executed under two tickets'
+        : undefined;
+    },
+  };
+}
