feat(router): execute tickets by their issuer only and resume broken answers

Cause of the change: a failed RPC to an issuer read as 'internal', a damaged ticket payload too; a ticket was good for any method, path and body; the table grew without bound; an attempt that failed after an earlier one of the same request may have run could be called 'not run'; events of another attempt could fail an attempt.

Ruled out: a row for each issued ticket (a caller that asks for tickets could evict results). Tickets carry a sequence number instead, and the table has a floor below which nothing is executed again.

Change: key home, hand-over at a planned stop, one connection for each call of a plain service, attempt record as a chart, chunk sequence, retry budget and backoff in the relay, stall and owner watch, finish reason and usage of whole answers.

--- a/packages/decisions/src/attempt.ts
+++ b/packages/decisions/src/attempt.ts
@@ -49,3 +49,14 @@
   const {code, syscall} = error as {code?: string; syscall?: string};
   return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
 }
+
+/**
+ * Tells what is known of a request after several attempts: it did not run only
+ * if none of them can have run.
+ */
+export function mergeOutcomes(earlier: Outcome, latest: Outcome): Outcome {
+  if (latest === Outcome.COMPLETED) {
+    return latest;
+  }
+  return earlier === Outcome.NOT_RUN ? latest : Outcome.UNKNOWN;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,17 +3,40 @@
   AttemptEvent,
   createAttemptRecord,
   isConnectFailure,
+  mergeOutcomes,
 } from './attempt.js';
 export type {AttemptRecord} from './attempt.js';
+export {ChunkVerdict, createChunkSequence} from './chunk_sequence.js';
+export type {ChunkSequence, ChunkSequenceOptions} from './chunk_sequence.js';
 export {createKeyHome} from './key_home.js';
 export type {KeyClaim, KeyHome, KeyHomeOptions} from './key_home.js';
+export {createFairShare} from './fair_share.js';
+export type {FairShare, FairShareOptions} from './fair_share.js';
+export {createMinimumShares} from './minimum_share.js';
+export type {MinimumShares, MinimumSharesOptions} from './minimum_share.js';
+export {createOutputEstimator} from './output_estimator.js';
+export type {
+  OutputEstimator,
+  OutputEstimatorOptions,
+  OutputKey,
+} from './output_estimator.js';
 export {computeRelativeLoad, placeRequest} from './placement.js';
-export type {PlacementCandidate} from './placement.js';
+export type {PlacementCandidate, PlacementRequest} from './placement.js';
+export {createPrefixTable} from './prefix_table.js';
+export type {PrefixTable, Prompt} from './prefix_table.js';
+export type {QueuedRequest} from './queued_request.js';
+export {createRetryBudget} from './retry_budget.js';
+export type {RetryBudget} from './retry_budget.js';
+export {createServerLimit} from './server_limit.js';
+export type {
+  LimitMessage,
+  ServerLimit,
+  ServerLimitOptions,
+} from './server_limit.js';
 export {createServerQueue} from './server_queue.js';
 export type {
   QueueAction,
   QueueMessage,
-  QueuedRequest,
   ServerQueue,
   ServerQueueOptions,
 } from './server_queue.js';
@@ -25,6 +48,11 @@
   validateTicketCall,
 } from './ticket.js';
 export type {Ticket, TicketCall} from './ticket.js';
+export {createStragglerDetector} from './stragglers.js';
+export type {
+  StragglerDetector,
+  StragglerDetectorOptions,
+} from './stragglers.js';
 export {TicketState, createTicketTable} from './ticket_table.js';
 export type {
   IncarnationTickets,
@@ -35,5 +63,5 @@
   TicketTable,
   TicketTableOptions,
 } from './ticket_table.js';
-export {createTokenBucket} from './token_bucket.js';
+export {createTokenBucket, splitRate} from './token_bucket.js';
 export type {TokenBucket, TokenBucketOptions} from './token_bucket.js';
--- a/packages/decisions/src/ticket_check/model.ts
+++ b/packages/decisions/src/ticket_check/model.ts
@@ -57,7 +57,7 @@
   return `${index}.${run}`;
 }
 
-function replaceAt<T>(items: readonly T[], index: number, item: T): T[] {
+function updateAt<T>(items: readonly T[], index: number, item: T): T[] {
   return items.map((old, position) => (position === index ? item : old));
 }
 
@@ -90,7 +90,7 @@
     changes: Partial<ModelInstance>,
   ): ModelState {
     const changed = {...state.instances[index]!, ...changes};
-    return {...state, instances: replaceAt(state.instances, index, changed)};
+    return {...state, instances: updateAt(state.instances, index, changed)};
   }
 
   function useBudget(state: ModelState, name: keyof ModelBudget): ModelState {
@@ -102,13 +102,13 @@
     return {...state, messages: [...state.messages, message]};
   }
 
-  function tellCaller(
+  function reportOutcome(
     state: ModelState,
     ticket: number,
     outcome: Outcome,
   ): ModelState {
     return outcome === Outcome.NOT_RUN
-      ? {...state, toldNotRun: replaceAt(state.toldNotRun, ticket, true)}
+      ? {...state, toldNotRun: updateAt(state.toldNotRun, ticket, true)}
       : state;
   }
 
@@ -141,8 +141,8 @@
           ticket,
         }),
       wait: () => claimed,
-      replay: ({result}) => tellCaller(claimed, ticket, result.outcome),
-      refuse: ({outcome}) => tellCaller(claimed, ticket, outcome),
+      replay: ({result}) => reportOutcome(claimed, ticket, result.outcome),
+      refuse: ({outcome}) => reportOutcome(claimed, ticket, outcome),
     };
     return handlers[decision.type](decision as never);
   }
@@ -156,7 +156,7 @@
     const table = openTable(state, index);
     table.store(state.tickets[ticket]!, makeResult(outcome));
     const stored = updateInstance(state, index, {table: table.takeSnapshot()});
-    return tellCaller(stored, ticket, outcome);
+    return reportOutcome(stored, ticket, outcome);
   }
 
   function claimKeyAt(
@@ -219,7 +219,7 @@
       return index < 0 ? undefined : claimAt(state, index, ticket);
     },
     execute: (state, {from, ticket}) => {
-      const executions = replaceAt(
+      const executions = updateAt(
         state.executions,
         ticket,
         state.executions[ticket]! + 1,
--- a/packages/decisions/src/ticket_table.ts
+++ b/packages/decisions/src/ticket_table.ts
@@ -44,7 +44,8 @@
 }
 
 /** The tickets that a stopping issuer passes to its successor. */
-export interface TicketHandOver extends IncarnationTickets {
+export interface TicketHandOver
+  extends Omit<IncarnationTickets, 'clockOffsetMs'> {
   /** Incarnation of the one successor that may adopt the tickets. */
   successorIncarnation: string;
   /** Time of the hand-over by the issuer's clock, in milliseconds. */
@@ -197,7 +198,7 @@
     return undefined;
   }
 
-  function evictOne(): boolean {
+  function removeOldest(): boolean {
     // Adopted tickets go first: their callers had the longest time to repeat.
     for (const group of [...groups.values()].reverse()) {
       const record = findEvictable(group);
@@ -213,7 +214,7 @@
   }
 
   function hasRoom(): boolean {
-    return size < capacity || evictOne();
+    return size < capacity || removeOldest();
   }
 
   function claimNew(
@@ -272,7 +273,7 @@
       record.state = TicketState.DONE;
       record.result = result;
       bytes += countBytes(record);
-      while (bytes > maximumBytes && evictOne()) {
+      while (bytes > maximumBytes && removeOldest()) {
         // Each round evicts one record.
       }
     },
@@ -284,15 +285,17 @@
     },
     handOver: (successorIncarnation, now) => {
       isClosed = true;
-      return [...groups.values()].map(group => ({
-        ...toIncarnation(group),
-        records: [...group.records.values()].map(record => ({
+      return [...groups.values()].map(({info, records}) => ({
+        incarnation: info.incarnation,
+        floor: info.floor,
+        issued: info.issued,
+        successorIncarnation,
+        handedOverAt: now + info.clockOffsetMs,
+        records: [...records.values()].map(record => ({
           sequence: record.sequence,
           state: TicketState.DONE,
           result: record.result ?? UNKNOWN_AT_STOP,
         })),
-        successorIncarnation,
-        handedOverAt: now + group.info.clockOffsetMs,
       }));
     },
     adopt: (handOver, now) => {
@@ -311,7 +314,7 @@
         size += 1;
         bytes += countBytes(record);
       }
-      while ((size > capacity || bytes > maximumBytes) && evictOne()) {
+      while ((size > capacity || bytes > maximumBytes) && removeOldest()) {
         // Each round evicts one record.
       }
       return true;
--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -2,34 +2,38 @@
 import type {FileSet, ServiceRoute} from '@buckthornbeam/config';
 import type {TicketResult} from '@buckthornbeam/decisions';
 import {RouterError} from '@buckthornbeam/shared';
-import type {Clock, RandomSource} from '@buckthornbeam/shared';
+import type {Clock, Logger, RandomSource} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
+import type {ServiceCall, ServiceClient} from '../service_client.js';
 import {createAdmission} from './admission.js';
+import type {AdmittedRequest} from './admission.js';
 import type {AnswerChunk, ChatRequest} from './chat_request.js';
+import type {DispatchPolicy} from './dispatch_policy.js';
 import {listEntries} from './entry_list.js';
 import type {EntryList} from './entry_list.js';
-import type {Issuer, ServiceCall} from './issuer.js';
+import {listKnownLoads} from './known_loads.js';
 import type {Member} from './member.js';
 import type {Owner} from './owner.js';
 import {createPlacer} from './placer.js';
 import {createRelay} from './relay.js';
 import {describeStatus} from './status.js';
-import {createTicketCalls} from './ticket_calls.js';
-import type {TicketAnswer} from './ticket_calls.js';
+import type {TicketAnswer, TicketCalls} from './ticket_calls.js';
 
 /** Options of {@link createEntry}. */
 export interface EntryOptions {
   identity: Identity;
   /** Returns the `host:port` that callers reach this instance at. */
   getCallerAddress: () => string;
-  ticketKey: string;
   clock: Clock;
+  logger: Logger;
   random: RandomSource;
   clients: PeerClients;
   member: Member;
+  policy: DispatchPolicy;
   owner: Owner;
-  issuer: Issuer;
+  services: ServiceClient;
+  tickets: TicketCalls;
   findFileSet: () => FileSet | undefined;
   isLeaving: () => boolean;
 }
@@ -45,7 +49,8 @@
   ): AsyncIterable<AnswerChunk>;
   getServiceRoute(name: string, method: string, path: string): ServiceRoute;
   callService(call: ServiceCall): Promise<TicketResult>;
-  issueTicket(customerId: string, serviceName: string, key: string): string;
+  /** Issues a ticket for a call; nothing runs. */
+  issueTicket(customerId: string, call: ServiceCall, key: string): string;
   executeTicket(
     customerId: string,
     ticketText: string,
@@ -57,7 +62,7 @@
 
 /** Creates the entry task. */
 export function createEntry(options: EntryOptions): Entry {
-  const {identity, clock, random, clients, member, owner, issuer} = options;
+  const {identity, clock, random, clients, member, policy, owner} = options;
 
   function getFileSet(): FileSet {
     const set = options.findFileSet();
@@ -67,28 +72,52 @@
     return set;
   }
 
-  const admission = createAdmission({clock, getFileSet});
+  const admission = createAdmission({
+    clock,
+    getFileSet,
+    countInstances: () => member.listPeers().length + 1,
+  });
   const placer = createPlacer({
     random,
+    clock,
     getFileSet,
-    listLoads: () => [
-      ...owner.listLoads(),
-      ...member.listPeers().flatMap(peer => peer.loads),
-    ],
+    listLoads: () => listKnownLoads({clock, policy, owner, member}),
   });
-  const relay = createRelay({identity, clients, member, owner, placer});
-  const ticketCalls = createTicketCalls({
+  const relay = createRelay({
     identity,
-    ticketKey: options.ticketKey,
     clients,
     member,
-    issuer,
+    owner,
+    placer,
+    policy,
+    isDeterministic: model =>
+      getFileSet().models.get(model)?.deterministic ?? false,
   });
 
+  /** Relays an answer and settles the customer's account by its length. */
+  async function* relayAdmitted(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<AnswerChunk> {
+    let outputTokens = 0;
+    let isComplete = false;
+    try {
+      for await (const chunk of relay.relay(admitted, signal)) {
+        outputTokens += chunk.tokens;
+        yield chunk;
+      }
+      isComplete = admitted.request.resumeOffset === 0;
+    } finally {
+      admission.settle(admitted, outputTokens, isComplete);
+    }
+  }
+
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
-      yield* relay.relay(admission.accept(customerId, request), signal);
+      const admitted = admission.accept(customerId, request);
+      options.logger.debug('request_admitted', {request: request.requestId});
+      yield* relayAdmitted(admitted, signal);
     },
     getServiceRoute: (name, method, path) => {
       const service = getFileSet().services.get(name);
@@ -103,11 +132,11 @@
       }
       return route;
     },
-    callService: call => issuer.callService(call),
-    issueTicket: (customerId, serviceName, key) =>
-      issuer.issue(customerId, serviceName, key),
+    callService: call => options.services.callIdempotent(call),
+    issueTicket: (customerId, call, key) =>
+      options.tickets.issue(customerId, call, key),
     executeTicket: (customerId, ticketText, call) =>
-      ticketCalls.execute(customerId, ticketText, call),
+      options.tickets.execute(customerId, ticketText, call),
     listEntries: callerDataCentre =>
       listEntries(
         {
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -13,6 +13,23 @@
 
 /** Every failure of the system by its stable code. */
 export const errorTable = {
+  malformed_http: {
+    status: 400,
+    title: 'The request is not valid HTTP.',
+    advice: 'Use an HTTP/1.1 client library.',
+  },
+  headers_too_large: {
+    status: 431,
+    title: 'The headers are larger than the limit.',
+    advice:
+      'Send fewer headers, or raise limits.maximumHeaderBytes in the settings.',
+  },
+  entry_full: {
+    status: 503,
+    title: 'The instance has as many requests open as its settings allow.',
+    advice:
+      'Use another address from GET /v1/entries, or raise limits in the settings.',
+  },
   malformed_json: {
     status: 400,
     title: 'The body is not valid JSON.',
@@ -56,7 +73,8 @@
   body_too_large: {
     status: 413,
     title: 'The body is larger than the limit.',
-    advice: 'Send a smaller body, or raise maxBodyBytes in the settings.',
+    advice:
+      'Send a smaller body, or raise limits.maximumBodyBytes in the settings.',
   },
   request_timeout: {
     status: 408,
@@ -119,6 +137,11 @@
     title: 'The answer ended before its terminator.',
     advice: 'Reconnect with the last offset to continue the answer.',
   },
+  answer_not_resumable: {
+    status: 502,
+    title: 'The answer broke and its model cannot continue it.',
+    advice: 'Discard the part received and send the request as a new one.',
+  },
   preempted: {
     status: 503,
     title: 'The request made room for a higher tier.',
@@ -150,6 +173,11 @@
     title: 'The instance that issued the ticket is gone.',
     advice: 'Look up the result at the service before making another call.',
   },
+  ticket_issuer_unreachable: {
+    status: 503,
+    title: 'The instance that issued the ticket could not be reached.',
+    advice: 'Repeat the call with the same ticket; it is never run twice.',
+  },
   key_in_use: {
     status: 409,
     title: 'The idempotency key is in use by another ticket.',
