--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,23 +1,19 @@
 /** The router: all tasks of one entry instance, put together. */
 import {create} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
-import {decodeTicket} from '@buckthornbeam/decisions';
 import type {Settings} from '@buckthornbeam/config';
 import {
   DispatchService,
-  ExecuteTicketResponseSchema,
   FetchFileSetResponseSchema,
   PeerService,
   TicketService,
 } from '@buckthornbeam/protocol';
-import type {ExecuteTicketRequest} from '@buckthornbeam/protocol';
 import {
   createLogger,
   createMetrics,
   createRandom,
   createSystemClock,
   hashToUint32,
-  toRouterError,
 } from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import {createEngineClient} from './engine_client.js';
@@ -27,12 +23,14 @@
 import {createPeerClients} from './peer_clients.js';
 import {startPeerServer} from './peer_server.js';
 import type {PeerServer} from './peer_server.js';
+import {createServiceClient} from './service_client.js';
 import {createStopSequence} from './stop_sequence.js';
 import {createDispatchPolicy} from './tasks/dispatch_policy.js';
 import {createEntry} from './tasks/entry.js';
-import {createIssuer} from './tasks/issuer.js';
+
 import {createMember} from './tasks/member.js';
 import {createOwner} from './tasks/owner.js';
+import {createTicketCalls} from './tasks/ticket_calls.js';
 import {createWatcher} from './tasks/watcher.js';
 
 /** Options of {@link createRouter}. */
@@ -105,16 +103,24 @@
     isOwner: serverId => policy.findOwner(serverId) === id,
     getShare: (serverId, limit) => policy.getShare(serverId, limit),
   });
-  const issuer = createIssuer({
+  const services = createServiceClient({
+    maximumBytes: settings.limits.maximumBodyBytes,
+    getFileSet: () => findFileSet()!,
+  });
+  const tickets = createTicketCalls({
     identity,
-    settings,
+    ticketKey: settings.ticketKey,
+    clock,
     logger,
+    clients,
+    member,
+    services,
     getFileSet: () => findFileSet()!,
+    isLeaving: () => isLeaving,
   });
   const entry = createEntry({
     identity,
     getCallerAddress: () => callerServer!.address,
-    ticketKey: settings.ticketKey,
     clock,
     logger,
     random,
@@ -122,30 +128,13 @@
     member,
     policy,
     owner,
-    issuer,
+    services,
+    tickets,
     findFileSet,
     isLeaving: () => isLeaving,
     getPeerTraffic: () => peerServer!.getTraffic(),
   });
 
-  async function executeTicket(request: ExecuteTicketRequest) {
-    try {
-      const ticket = decodeTicket(request.ticket, settings.ticketKey);
-      const result = await issuer.execute(ticket, {
-        ...request,
-        method: 'POST',
-      });
-      return create(ExecuteTicketResponseSchema, result);
-    } catch (error) {
-      const {code, message, outcome} = toRouterError(error);
-      return create(ExecuteTicketResponseSchema, {
-        code,
-        detail: message,
-        outcome,
-      });
-    }
-  }
-
   function addPeerRoutes(router: ConnectRouter): void {
     router.service(PeerService, {
       heartbeat: request => member.handleHeartbeat(request),
@@ -159,7 +148,11 @@
     router.service(DispatchService, {
       dispatch: (request, context) => owner.dispatch(request, context.signal),
     });
-    router.service(TicketService, {executeTicket});
+    router.service(TicketService, {
+      executeTicket: request => tickets.handleExecute(request),
+      claimKey: request => tickets.handleClaimKey(request),
+      adoptTickets: request => tickets.handleAdopt(request),
+    });
   }
 
   const stopSequence = createStopSequence({
@@ -175,6 +168,11 @@
         name: 'finish_callers',
         run: async () => callerServer?.close(),
       },
+      {
+        name: 'hand_over_tickets',
+        run: () => tickets.handOver(),
+        describePending: () => tickets.describePending(),
+      },
       {
         name: 'close_tasks',
         run: async () => {
@@ -183,7 +181,7 @@
           owner.stop();
           await peerServer?.close();
           await engines.close();
-          await issuer.stop();
+          await services.close();
           await metrics.close();
         },
       },
