fix(decisions): keep minimum shares and the highest tier's target under overload

Causes: a full queue refused every waiting brief; a place freed by preemption went to a class that was due, often the preempted one, whose refund was larger than what it had spent; the assumed lead was shorter than a tick and a cancel.

- the last waiting request and the running work of a minimum share cannot be replaced (the one exception to the order of refusals, for which no tier starves otherwise)
- while the highest tier is urgent a class waits until it has earned four requests; a refund is never more than what was spent

Tried and reverted: protecting only overdue work.

--- a/packages/decisions/src/dispatch_order.ts
+++ b/packages/decisions/src/dispatch_order.ts
@@ -30,10 +30,16 @@
   ): DispatchChoice | undefined;
   /** Records a dispatch; `waiting` still holds the request. */
   record(request: QueuedRequest, waiting: readonly QueuedRequest[]): void;
-  /** Corrects the customer's account when the real work is known. */
+  /** Corrects the accounts when the real work is known. */
   settle(request: QueuedRequest, tokens: number): void;
+  /** Drops what is kept of a request whose real work is not known. */
+  forget(request: QueuedRequest): void;
 }
 
+/** Lead times before its target at which a request becomes urgent. */
+export const URGENT_LEADS = 3;
+/** Earned requests after which a minimum share goes before urgent work. */
+const URGENT_SHARE_FACTOR = 4;
 /** Lead of a customer, in weighted tokens, within which deadlines decide. */
 const FAIRNESS_QUANTUM_TOKENS = 1000;
 
@@ -44,6 +50,8 @@
   const {getWeight, getMinimumShare, getLeadMs} = options;
   const shares = createMinimumShares({getShare: getMinimumShare});
   const clocks = new Map<number, FairShare>();
+  /** Earnings of its class that a running request has used up. */
+  const spentTokens = new Map<string, number>();
 
   function getClock(tier: number): FairShare {
     const known = clocks.get(tier);
@@ -55,6 +63,13 @@
     return created;
   }
 
+  /** Requests of the highest tier that will soon miss their target. */
+  function isUrgent({tier, deadline}: QueuedRequest, now: number): boolean {
+    const slackMs = deadline - now;
+    const leadMs = getLeadMs();
+    return tier === 1 && slackMs >= 0 && slackMs < URGENT_LEADS * leadMs;
+  }
+
   /** Requests that can still meet their target come first, most urgent first. */
   function compareUrgency(
     a: QueuedRequest,
@@ -115,7 +130,8 @@
       next.set(className, request);
       needed.set(className, request.estimatedTokens);
     }
-    const due = shares.findDue(needed);
+    const isAnyUrgent = waiting.some(request => isUrgent(request, now));
+    const due = shares.findDue(needed, isAnyUrgent ? URGENT_SHARE_FACTOR : 1);
     return due === undefined ? undefined : next.get(due);
   }
 
@@ -141,13 +157,22 @@
       const floor = computeLeastStart(sameTier);
       getClock(tier).record(customerId, estimatedTokens, floor);
       const classes = new Set(waiting.map(item => item.className));
-      shares.record(className, estimatedTokens, classes);
+      const spent = shares.record(className, estimatedTokens, classes);
+      if (spent > 0) {
+        spentTokens.set(request.attemptId, spent);
+      }
     },
     settle: (request, tokens) => {
+      const {attemptId, className, customerId, tier} = request;
       const difference = tokens - request.estimatedTokens;
-      getClock(request.tier).settle(request.customerId, difference);
-      // A preempted request has not had the work that it was charged for.
-      shares.settle(request.className, Math.min(0, difference));
+      getClock(tier).settle(customerId, difference);
+      const spent = spentTokens.get(attemptId) ?? 0;
+      spentTokens.delete(attemptId);
+      // A preempted request has not had the work that its class paid for.
+      shares.refund(className, Math.min(spent, Math.max(0, -difference)));
+    },
+    forget: ({attemptId}) => {
+      spentTokens.delete(attemptId);
     },
   };
 }
--- a/packages/decisions/src/minimum_share.ts
+++ b/packages/decisions/src/minimum_share.ts
@@ -11,15 +11,24 @@
   /**
    * Records a dispatch: every class earns its share of the work. A class
    * without waiting requests keeps what its last request needed at most.
+   * Returns what the class has spent of its earnings, in tokens.
    */
-  record(className: string, tokens: number, waiting: ReadonlySet<string>): void;
-  /** Takes the difference of real to estimated work from what is earned. */
-  settle(className: string, difference: number): void;
+  record(
+    className: string,
+    tokens: number,
+    waiting: ReadonlySet<string>,
+  ): number;
+  /** Gives back what was spent on work that was not done, in tokens. */
+  refund(className: string, tokens: number): void;
   /**
    * Finds the class that has earned the most beyond its next request.
-   * `needed` holds the work of each waiting class's next request, in tokens.
+   * `needed` holds the work of each waiting class's next request, in tokens;
+   * the earnings have to be `factor` times as large.
    */
-  findDue(needed: ReadonlyMap<string, number>): string | undefined;
+  findDue(
+    needed: ReadonlyMap<string, number>,
+    factor: number,
+  ): string | undefined;
 }
 
 interface ClassAccount {
@@ -57,19 +66,20 @@
         }
       }
       // Work beyond the minimum share is not held against a class later.
-      spender.earnedTokens = Math.max(0, spender.earnedTokens - tokens);
+      const spent = Math.min(spender.earnedTokens, tokens);
+      spender.earnedTokens -= spent;
+      return spent;
     },
-    settle: (className, difference) => {
-      const account = getAccount(className);
-      account.earnedTokens = Math.max(0, account.earnedTokens - difference);
+    refund: (className, tokens) => {
+      getAccount(className).earnedTokens += tokens;
     },
-    findDue: needed => {
+    findDue: (needed, factor) => {
       let best: string | undefined;
       let bestSurplus = 0;
       for (const [className, tokens] of needed) {
         const account = getAccount(className);
         account.lastNeeded = tokens;
-        const surplus = account.earnedTokens - tokens;
+        const surplus = account.earnedTokens - factor * tokens;
         if (surplus >= 0 && (best === undefined || surplus > bestSurplus)) {
           best = className;
           bestSurplus = surplus;
--- a/packages/decisions/src/running_set.ts
+++ b/packages/decisions/src/running_set.ts
@@ -3,15 +3,15 @@
 
 interface RunningRequest {
   request: QueuedRequest;
-  /** Runs for the minimum share of its class. */
-  isForMinimumShare: boolean;
+  /** Runs for the minimum share of its class, and is not to be stopped. */
+  isProtected: boolean;
   /** Was told to stop and has not finished yet. */
   isStopping: boolean;
 }
 
 /** The running requests in the order of their dispatch. */
 export interface RunningSet {
-  add(request: QueuedRequest, isForMinimumShare: boolean): void;
+  add(request: QueuedRequest, isProtected: boolean): void;
   remove(attemptId: string): QueuedRequest | undefined;
   count(): number;
   /** Estimated work of all running requests, in tokens. */
@@ -21,13 +21,11 @@
   countStoppingTokens(): number;
   /**
    * Marks the request of the lowest tier below the given one as stopping; the
-   * youngest, since it has the least work behind it.
+   * youngest, since it has the least work behind it. Protected work is
+   * left alone.
    */
-  stopLowest(
-    tier: number,
-    withMinimumShare: boolean,
-  ): QueuedRequest | undefined;
-  /** Lowest priority that runs and is not being stopped; 0 if none. */
+  stopLowest(tier: number): QueuedRequest | undefined;
+  /** Lowest priority that {@link stopLowest} could stop; 0 if none. */
   getLowestTier(): number;
 }
 
@@ -38,14 +36,11 @@
   let stopping = 0;
   let stoppingTokens = 0;
 
-  function findLowest(
-    tier: number,
-    withMinimumShare: boolean,
-  ): RunningRequest | undefined {
+  function findLowest(tier: number): RunningRequest | undefined {
     let lowest: RunningRequest | undefined;
     for (const item of items.values()) {
-      const isProtected = item.isForMinimumShare && !withMinimumShare;
-      if (item.isStopping || isProtected || item.request.tier <= tier) {
+      const canStop = !item.isStopping && !item.isProtected;
+      if (!canStop || item.request.tier <= tier) {
         continue;
       }
       if (!lowest || item.request.tier >= lowest.request.tier) {
@@ -56,11 +51,11 @@
   }
 
   return {
-    add: (request, isForMinimumShare) => {
+    add: (request, isProtected) => {
       tokens += request.estimatedTokens;
       items.set(request.attemptId, {
         request,
-        isForMinimumShare,
+        isProtected,
         isStopping: false,
       });
     },
@@ -81,8 +76,8 @@
     countTokens: () => tokens,
     countStopping: () => stopping,
     countStoppingTokens: () => stoppingTokens,
-    stopLowest: (tier, withMinimumShare) => {
-      const item = findLowest(tier, withMinimumShare);
+    stopLowest: tier => {
+      const item = findLowest(tier);
       if (item) {
         item.isStopping = true;
         stopping += 1;
@@ -90,6 +85,6 @@
       }
       return item?.request;
     },
-    getLowestTier: () => findLowest(0, true)?.request.tier ?? 0,
+    getLowestTier: () => findLowest(0)?.request.tier ?? 0,
   };
 }
--- a/packages/decisions/src/server_queue.ts
+++ b/packages/decisions/src/server_queue.ts
@@ -3,7 +3,7 @@
  * count of running requests is exact and never passes the limit.
  */
 import type {ErrorCode} from '@buckthornbeam/shared';
-import {createDispatchOrder} from './dispatch_order.js';
+import {URGENT_LEADS, createDispatchOrder} from './dispatch_order.js';
 import type {QueuedRequest} from './queued_request.js';
 import {createRunningSet} from './running_set.js';
 
@@ -61,8 +61,17 @@
 
 const DEFAULT_MAXIMUM_QUEUED = 256;
 const DEFAULT_LEAD_MS = 150;
-/** Lead times before its target at which a request becomes urgent. */
-const URGENT_LEADS = 3;
+
+/** Orders by tier, then late requests before others, the latest first. */
+function compareImportance(
+  a: QueuedRequest,
+  b: QueuedRequest,
+  now: number,
+): number {
+  const isLateA = Number(a.deadline < now);
+  const isLateB = Number(b.deadline < now);
+  return b.tier - a.tier || isLateB - isLateA || b.deadline - a.deadline;
+}
 
 /** Creates an empty queue. */
 export function createServerQueue(options: ServerQueueOptions): ServerQueue {
@@ -138,7 +147,7 @@
         pending -= 1;
         continue;
       }
-      const victim = running.stopLowest(request.tier, false);
+      const victim = running.stopLowest(request.tier);
       if (victim) {
         actions.push({type: 'preempt', request: victim});
       }
@@ -154,15 +163,27 @@
     return waiting.length > maximumCount || isOverTokens;
   }
 
+  /** The last waiting request of a class with a minimum share stays. */
+  function listReplaceable(): QueuedRequest[] {
+    const counts = new Map<string, number>();
+    for (const {className} of waiting) {
+      counts.set(className, (counts.get(className) ?? 0) + 1);
+    }
+    return waiting.filter(
+      ({className}) =>
+        counts.get(className)! > 1 || getMinimumShare(className) === 0,
+    );
+  }
+
   /** The lowest tier; within it the one that is least likely to be in time. */
-  function findLeastImportant(now: number): QueuedRequest {
-    return waiting.reduce((worst, request) => {
-      const isLater =
-        Number(request.deadline < now) - Number(worst.deadline < now) ||
-        request.deadline - worst.deadline;
-      const difference = request.tier - worst.tier || isLater;
-      return difference > 0 ? request : worst;
-    });
+  function findLeastImportant(now: number): QueuedRequest | undefined {
+    let worst: QueuedRequest | undefined;
+    for (const request of listReplaceable()) {
+      if (!worst || compareImportance(request, worst, now) < 0) {
+        worst = request;
+      }
+    }
+    return worst;
   }
 
   /** Stops a lower tier before it refuses a higher one. */
@@ -170,7 +191,10 @@
     const actions: QueueAction[] = [];
     while (isOverfull()) {
       const request = findLeastImportant(now);
-      const victim = running.stopLowest(request.tier, true);
+      if (!request) {
+        break;
+      }
+      const victim = running.stopLowest(request.tier);
       if (victim) {
         actions.push({type: 'preempt', request: victim});
         continue;
@@ -191,7 +215,12 @@
 
   function finishRunning(attemptId: string, tokens?: number): void {
     const request = running.remove(attemptId);
-    if (request && tokens !== undefined) {
+    if (!request) {
+      return;
+    }
+    if (tokens === undefined) {
+      order.forget(request);
+    } else {
       order.settle(request, tokens);
     }
   }
