--- a/packages/stand_ins/src/measure/run.ts
+++ b/packages/stand_ins/src/measure/run.ts
@@ -85,6 +85,11 @@
         capacity: {...server.capacity, requests, startingRequests},
       })),
     },
+    'service.json': {
+      ...set.files['service.json'],
+      maximumRequestMs:
+        set.files['service.json'].maximumRequestMs * SLOW_MOTION,
+    },
     'classes.json': {
       classes: [...set.classes.values()].map(item => ({
         ...item,
