--- a/packages/router/src/tasks/placer.ts
+++ b/packages/router/src/tasks/placer.ts
@@ -41,6 +41,21 @@
 /** Time between two looks for stragglers, in milliseconds. */
 const STRAGGLER_PERIOD_MS = SECOND_MS;
 
+function indexServers(set: FileSet): Map<string, BackendServer[]> {
+  const byModel = new Map<string, BackendServer[]>();
+  for (const server of set.servers.values()) {
+    if (!isInService(set, server)) {
+      continue;
+    }
+    for (const model of server.models) {
+      const servers = byModel.get(model) ?? [];
+      servers.push(server);
+      byModel.set(model, servers);
+    }
+  }
+  return byModel;
+}
+
 function toPrompt({request}: AdmittedRequest): Prompt {
   const messages = request.body['messages'] as Array<{content?: unknown}>;
   const content = messages[0]?.content;
@@ -56,6 +71,8 @@
   /** Times at which requests were sent, by server, oldest first. */
   const sentTimes = new Map<string, number[]>();
   let stragglersAt = -Infinity;
+  let indexedSet: FileSet | undefined;
+  let serversByModel: ReadonlyMap<string, BackendServer[]> = new Map();
 
   function countSentSince(serverId: string, reportedAt: number): number {
     const times = sentTimes.get(serverId);
@@ -103,6 +120,15 @@
     };
   }
 
+  /** Servers in service that hold the model, indexed once for a file set. */
+  function listServers(set: FileSet, model: string): BackendServer[] {
+    if (set !== indexedSet) {
+      indexedSet = set;
+      serversByModel = indexServers(set);
+    }
+    return serversByModel.get(model) ?? [];
+  }
+
   function listCandidates(
     model: string,
     excluded: ReadonlySet<string>,
@@ -113,12 +139,8 @@
     );
     observeSpeeds(loads);
     const candidates: PlacementCandidate[] = [];
-    for (const server of set.servers.values()) {
-      const isCandidate =
-        server.models.includes(model) &&
-        !excluded.has(server.id) &&
-        isInService(set, server);
-      if (isCandidate) {
+    for (const server of listServers(set, model)) {
+      if (!excluded.has(server.id)) {
         candidates.push(makeCandidate(server, loads.get(server.id)));
       }
     }
