--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,15 @@
 /** Pure decisions: they take state, a message and the time. */
-export {createAttemptProgress, resolveOutcome} from './attempt.js';
-export type {AttemptProgress} from './attempt.js';
+export {
+  AttemptEvent,
+  createAttemptRecord,
+  isConnectFailure,
+  mergeOutcomes,
+} from './attempt.js';
+export type {AttemptRecord} from './attempt.js';
+export {ChunkVerdict, createChunkSequence} from './chunk_sequence.js';
+export type {ChunkSequence, ChunkSequenceOptions} from './chunk_sequence.js';
+export {createKeyHome} from './key_home.js';
+export type {KeyClaim, KeyHome, KeyHomeOptions} from './key_home.js';
 export {createFairShare} from './fair_share.js';
 export type {FairShare, FairShareOptions} from './fair_share.js';
 export {createLeadTime} from './lead_time.js';
@@ -33,18 +42,28 @@
   ServerQueue,
   ServerQueueOptions,
 } from './server_queue.js';
+export {
+  computeBodyDigest,
+  decodeTicket,
+  encodeTicket,
+  formatTicketId,
+  validateTicketCall,
+} from './ticket.js';
+export type {Ticket, TicketCall} from './ticket.js';
 export {createStragglerDetector} from './stragglers.js';
 export type {
   StragglerDetector,
   StragglerDetectorOptions,
 } from './stragglers.js';
-export {decodeTicket, encodeTicket} from './ticket.js';
-export type {Ticket} from './ticket.js';
 export {TicketState, createTicketTable} from './ticket_table.js';
 export type {
+  IncarnationTickets,
   TicketDecision,
+  TicketHandOver,
+  TicketRecord,
   TicketResult,
   TicketTable,
+  TicketTableOptions,
 } from './ticket_table.js';
 export {createTokenBucket, splitRate} from './token_bucket.js';
 export type {TokenBucket, TokenBucketOptions} from './token_bucket.js';
--- /dev/null
+++ b/packages/router/src/tasks/ticket_messages.ts
@@ -0,0 +1,30 @@
+/** Conversion of handed-over tickets from and to their messages. */
+import {TicketState} from '@buckthornbeam/decisions';
+import type {TicketHandOver, TicketRecord} from '@buckthornbeam/decisions';
+import type {
+  AdoptTicketsRequest,
+  TicketRecord as TicketRecordMessage,
+} from '@buckthornbeam/protocol';
+import {create} from '@bufbuild/protobuf';
+import {AdoptTicketsRequestSchema} from '@buckthornbeam/protocol';
+import type {Outcome} from '@buckthornbeam/shared';
+
+function toRecord({sequence, result}: TicketRecordMessage): TicketRecord {
+  return {
+    sequence,
+    state: TicketState.DONE,
+    ...(result
+      ? {result: {...result, outcome: result.outcome as Outcome}}
+      : {}),
+  };
+}
+
+/** Reads a hand-over from its message. */
+export function toHandOver(request: AdoptTicketsRequest): TicketHandOver {
+  return {...request, records: request.records.map(toRecord)};
+}
+
+/** Builds the message of a hand-over. */
+export function toAdoptRequest(handOver: TicketHandOver): AdoptTicketsRequest {
+  return create(AdoptTicketsRequestSchema, handOver);
+}
