fix(router): keep the place of a cancelled stream longer on a starting server

The 25 ms after a cancel are too short there for an engine to have seen it; a cold or warming server now keeps the place for 500 ms.

--- a/packages/router/__tests__/owner.spec.ts
+++ b/packages/router/__tests__/owner.spec.ts
@@ -24,6 +24,8 @@
   new URL('../../../../examples/tunis', import.meta.url),
 );
 const SERVER = 'tunis-gpu-1';
+/** Longer than a place of a starting server is kept after a cancel. */
+const STARTING_WAIT_MS = 700;
 
 /** Answers of an engine that tests let go on or break. */
 function createFakeEngines() {
@@ -178,7 +180,7 @@
     const failure = brief.events.at(-1)!.event;
     assert.is(getLast(brief).code, 'preempted');
     assert.is((failure.value as {offset: number}).offset, 1);
-    await waitFor(60);
+    await waitFor(STARTING_WAIT_MS);
     assert.is(engines.calls.at(-1)!.attemptId, 'high');
     assert.is(owner.listLoads()[0]!.inFlight, 1);
     engines.finish('high');
@@ -199,7 +201,9 @@
     await first.ended;
     assert.is(engines.calls.length, 1);
     assert.is(owner.listLoads()[0]!.inFlight, 1);
-    await waitFor(60);
+    await waitFor(100);
+    assert.is(engines.calls.length, 1, 'a starting server waits longer');
+    await waitFor(STARTING_WAIT_MS);
     assert.is(engines.calls.at(-1)!.attemptId, 'second');
     engines.finish('second');
     await second.ended;
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -56,8 +56,10 @@
 const TICK_MS = 50;
 /** Period of the load reports and of the search for servers to own. */
 const REPORT_PERIOD_MS = 500;
-/** Time for an engine to notice that a stream was given up. */
-const ABANDON_GRACE_MS = 25;
+/** Time for a warm engine to notice that a stream was given up. */
+const WARM_GRACE_MS = 25;
+/** The same for one that has just started and bears no request too many. */
+const STARTING_GRACE_MS = 500;
 /** Bytes of a body that make one token, for the accounts. */
 const BYTES_PER_TOKEN = 4;
 
@@ -178,7 +180,8 @@
     metrics.timing('owner.attempt', clock.now() - startedAt);
     if (report.isAbandoned) {
       // The engine may still count the stream as running.
-      await waitFor(ABANDON_GRACE_MS);
+      const isWarm = target.describeLoad().phase === 'serving';
+      await waitFor(isWarm ? WARM_GRACE_MS : STARTING_GRACE_MS);
     }
     endAttempt(target, attempt, report);
   }
