fix(router): a refusal after an attempt that may have run is not "not run"

Cause: the relay reported the outcome of the last attempt. A request that was preempted at an engine and then found every queue full was refused with not_run, though an engine had worked on it. Now an earlier attempt that may have run makes the outcome unknown. Ruled out: the owners' own refusals, which were right for their attempt.

The matrix gains rushes of a class, an engine that turns cold without a sign and one whose report lies.

--- a/packages/router/src/tasks/relay.ts
+++ b/packages/router/src/tasks/relay.ts
@@ -55,6 +55,22 @@
   });
 }
 
+function canHaveRun(error: unknown): boolean {
+  return !(error instanceof RouterError) || error.outcome !== Outcome.NOT_RUN;
+}
+
+/** Makes the failure of a request whose earlier attempt may have run. */
+function makeUnknown(error: unknown): unknown {
+  if (canHaveRun(error)) {
+    return error;
+  }
+  const {code, message, retryAfterMs} = error as RouterError;
+  return new RouterError(code, message, {
+    outcome: Outcome.UNKNOWN,
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  });
+}
+
 /** Creates the relay of one instance. */
 export function createRelay(options: RelayOptions): Relay {
   const {identity, clients, member, owner, placer, policy} = options;
@@ -126,27 +142,43 @@
     });
   }
 
+  async function* relayAttempts(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+    onFailure: (error: unknown) => void,
+  ): AsyncGenerator<AnswerChunk> {
+    let offset = admitted.request.resumeOffset;
+    const placements = createPlacements();
+    for (;;) {
+      const dispatch = placements.makeNext(refusedBy =>
+        makeDispatch(admitted, offset, refusedBy),
+      );
+      try {
+        for await (const chunk of relayAttempt(dispatch, signal)) {
+          yield chunk;
+          offset = chunk.offset + chunk.tokens;
+        }
+        return;
+      } catch (error) {
+        onFailure(error);
+        const pauseMs = placements.observe(error, dispatch.serverId);
+        if (signal.aborted || pauseMs === undefined) {
+          throw error;
+        }
+        await waitFor(pauseMs, signal);
+      }
+    }
+  }
+
   return {
     async *relay(admitted, signal) {
-      let offset = admitted.request.resumeOffset;
-      const placements = createPlacements();
-      for (;;) {
-        const dispatch = placements.makeNext(refusedBy =>
-          makeDispatch(admitted, offset, refusedBy),
-        );
-        try {
-          for await (const chunk of relayAttempt(dispatch, signal)) {
-            yield chunk;
-            offset = chunk.offset + chunk.tokens;
-          }
-          return;
-        } catch (error) {
-          const pauseMs = placements.observe(error, dispatch.serverId);
-          if (signal.aborted || pauseMs === undefined) {
-            throw error;
-          }
-          await waitFor(pauseMs, signal);
-        }
+      let isUnknown = false;
+      try {
+        yield* relayAttempts(admitted, signal, error => {
+          isUnknown ||= canHaveRun(error);
+        });
+      } catch (error) {
+        throw isUnknown ? makeUnknown(error) : error;
       }
     },
   };
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -75,6 +75,10 @@
    * whose id begins with the prefix are held.
    */
   setHold(offset: number | null, requestPrefix?: string): void;
+  /** Sets how many requests were finished since the start; 0 turns it cold. */
+  setCompleted(count: number): void;
+  /** Makes load reports tell this count of finished requests; null ends it. */
+  setReportedCompleted(count: number | null): void;
   /** Changes the speed of streams, in tokens a second. */
   setSpeed(tokensPerSecond: number): void;
   close(): Promise<void>;
@@ -127,6 +131,7 @@
   let tickedAt = performance.now();
   let holdOffset: number | null = null;
   let holdPrefix = '';
+  let reportedCompleted: number | null = null;
   let speed = config.tokensPerSecond;
   let startedAt = performance.now();
   const loadHistory = createLoadHistory(config.loadLagMs);
@@ -247,7 +252,7 @@
     loadHistory.record(now, {
       running: running.size,
       waiting: waiting.length,
-      completed,
+      completed: reportedCompleted ?? completed,
       tokens,
       startedAt,
     });
@@ -324,6 +329,12 @@
       holdOffset = offset;
       holdPrefix = requestPrefix;
     },
+    setCompleted: count => {
+      completed = count;
+    },
+    setReportedCompleted: count => {
+      reportedCompleted = count;
+    },
     setSpeed: tokensPerSecond => {
       speed = tokensPerSecond;
     },
--- a/packages/stand_ins/src/faults/caller.ts
+++ b/packages/stand_ins/src/faults/caller.ts
@@ -64,9 +64,8 @@
       if (event.data === '[DONE]') {
         call.terminated = true;
       } else if (event.event === 'error') {
-        Object.assign(call, JSON.parse(event.data) as Problem, {
-          text: call.text,
-        });
+        const {code, outcome} = JSON.parse(event.data) as Problem;
+        Object.assign(call, {code, outcome});
       } else {
         call.firstTokenAt ??= performance.now();
         const chunk = JSON.parse(event.data) as {
--- a/packages/stand_ins/src/faults/faults.ts
+++ b/packages/stand_ins/src/faults/faults.ts
@@ -2,6 +2,7 @@
 import {ServiceState, createFileSet, encodeBundle} from '@buckthornbeam/config';
 import {waitFor} from '@buckthornbeam/shared';
 import {request} from 'undici';
+import type {Caller} from './caller.js';
 import {Flow} from '../processes/proxy.js';
 import type {Proxy, ProxyMode} from '../processes/proxy.js';
 import {endProcess} from '../processes/stand_in_process.js';
@@ -14,6 +15,7 @@
 /** Where a fault strikes. */
 export interface FaultContext {
   site: Site;
+  caller: Caller;
   step: Step;
   reached: ReachedStep;
 }
@@ -36,6 +38,9 @@
 const OUT_DURATION_MS = OUT_BOUND_MS + 1500;
 /** Delay with which the platform drops a dead instance from its list. */
 const LIST_LAG_MS = 1000;
+/** More than three times what the servers of the site run at once. */
+const RUSH_CALLERS = 60;
+const LIED_COMPLETED = 100_000;
 const SLOW_TOKENS_PER_SECOND = 10;
 const USUAL_TOKENS_PER_SECOND = 150;
 
@@ -343,7 +348,46 @@
   };
 }
 
+/** Many callers of one class, until the run ends. */
+function createRush(className: string): Fault {
+  async function runCaller(context: FaultContext, index: number) {
+    const {site, caller} = context;
+    const hasEnded = () =>
+      site.ledger.list('mark').some(mark => mark.name === Mark.LOAD_ENDED);
+    for (let count = 0; !hasEnded(); count++) {
+      const requestId = `rush-${className}-${index}-${count}`;
+      await caller.chat({requestId, className, entry: index + count});
+    }
+  }
+  return {
+    name: `rush-${className}`,
+    explainAbsence: explainNothing,
+    durationMs: DURATION_MS,
+    inject: async context => {
+      for (let index = 0; index < RUSH_CALLERS; index++) {
+        void runCaller(context, index);
+      }
+      return async () => {};
+    },
+  };
+}
+
 const specials: Fault[] = [
+  createRush('on-site'),
+  createRush('overnight'),
+  createServerSpecial('silently-cold-engine', async ({id, process}, site) => {
+    site.ledger.record({type: 'mark', name: Mark.COLD, subject: id});
+    await process.call('setCompleted', 0);
+    return async () => {};
+  }),
+  createServerSpecial('lying-engine', async ({id, process}, {ledger}) => {
+    ledger.record({type: 'mark', name: Mark.COLD, subject: id});
+    await process.call('setReportedCompleted', LIED_COMPLETED);
+    await process.call('restart', true);
+    return async () => {
+      await process.call('setReportedCompleted', null);
+    };
+  }),
   createServerSpecial('cold-engine', async ({id, process}, {ledger}) => {
     ledger.record({type: 'mark', name: Mark.COLD, subject: id});
     await process.call('restart', true);
--- a/packages/stand_ins/src/faults/site.ts
+++ b/packages/stand_ins/src/faults/site.ts
@@ -79,6 +79,8 @@
   coldRequests: COLD_REQUESTS,
   warmAfterRequests: 12,
 };
+/** Few, so that a rush of one class makes the owners shed. */
+const MAXIMUM_QUEUED = 12;
 const UNLIMITED_TOKENS = 10_000_000;
 const examples = fileURLToPath(
   new URL('../../../../../examples/tunis', import.meta.url),
@@ -173,6 +175,7 @@
         ticketKey: TICKET_KEY,
         logLevel: 'debug',
         timing,
+        limits: {maximumQueuedRequests: MAXIMUM_QUEUED},
       },
       directory,
     );
