feat(scripts): check that each invariant's cells catch a fault in the router

npm run mutants applies one listed fault at a time to a scratch copy, builds it, and runs its cells. Cause for tier-order, from a trial on a scratch copy: on-site calls were shed, but the judge asked for a lower tier that ran during the whole call, and a call at a full site lasts longer than a generation.

--- a/packages/stand_ins/src/faults/faults.ts
+++ b/packages/stand_ins/src/faults/faults.ts
@@ -39,7 +39,8 @@
 /** Delay with which the platform drops a dead instance from its list. */
 const LIST_LAG_MS = 1000;
 /** More than three times what the servers of the site run at once. */
-const RUSH_CALLERS = 60;
+const RUSH_CALLERS = 100;
+const RUSH_MS = 5000;
 const LIED_COMPLETED = 100_000;
 const SLOW_TOKENS_PER_SECOND = 10;
 const USUAL_TOKENS_PER_SECOND = 150;
@@ -362,7 +363,7 @@
   return {
     name: `rush-${className}`,
     explainAbsence: explainNothing,
-    durationMs: DURATION_MS,
+    durationMs: RUSH_MS,
     inject: async context => {
       for (let index = 0; index < RUSH_CALLERS; index++) {
         void runCaller(context, index);
--- a/packages/stand_ins/src/faults/invariants.ts
+++ b/packages/stand_ins/src/faults/invariants.ts
@@ -70,6 +70,8 @@
 
 /** Time by which a server or data centre taken out gets no new work. */
 export const OUT_BOUND_MS = 3000;
+/** Time that a preempted request needs to end at its engine. */
+const VIEW_AGE_MS = 100;
 /** Time by which a published set is in force everywhere. */
 export const IN_FORCE_BOUND_MS = 6000;
 
@@ -87,7 +89,7 @@
     );
 }
 
-/** A request was shed while one of a lower tier ran at an engine throughout. */
+/** A request was shed while one of a lower tier ran at an engine. */
 function checkTierOrder({ledger}: JudgedRun): Finding {
   const arrivals = listArrivals(ledger);
   const chats = ledger.list('call').filter(call => call.kind === 'chat');
@@ -104,8 +106,8 @@
     const lower = arrivals.find(
       arrival =>
         arrival.tier > call.tier &&
-        arrival.at < call.sentAt &&
-        (endedAt.get(arrival.attemptId) ?? 0) > call.at,
+        arrival.at < Math.max(call.sentAt, call.at - VIEW_AGE_MS) &&
+        (endedAt.get(arrival.attemptId) ?? 0) > call.at + VIEW_AGE_MS,
     );
     return lower
       ? [
