--- a/packages/stand_ins/src/faults/main.ts
+++ b/packages/stand_ins/src/faults/main.ts
@@ -16,6 +16,7 @@
     step: {type: 'string'},
     seed: {type: 'string', default: '1'},
     pairs: {type: 'string'},
+    sample: {type: 'string'},
     parallel: {type: 'string', default: '2'},
     json: {type: 'boolean', default: false},
     logs: {type: 'boolean', default: false},
@@ -47,6 +48,7 @@
     fault: values.fault,
     step: values.step,
     seed: Number(values.seed),
+    ...(values.sample ? {sample: Number(values.sample)} : {}),
     ...(values.pairs ? {pairs: Number(values.pairs)} : {}),
   });
   if (values.list) {
--- a/packages/stand_ins/src/faults/matrix.ts
+++ b/packages/stand_ins/src/faults/matrix.ts
@@ -25,6 +25,8 @@
   seed?: number;
   /** Pairs of faults to draw by the seed, instead of single faults. */
   pairs?: number;
+  /** Cells to draw by the seed, instead of all that can happen. */
+  sample?: number;
 }
 
 /** Lists the cells of the matrix that the filter selects. */
@@ -35,7 +37,7 @@
   if (filter.pairs !== undefined) {
     return pickPairs(chosenSteps, chosenFaults, filter.pairs, seed);
   }
-  return chosenFaults.flatMap(fault =>
+  const cells = chosenFaults.flatMap(fault =>
     chosenSteps.map(step => ({
       step,
       faults: [fault],
@@ -43,6 +45,20 @@
       absence: fault.explainAbsence(step),
     })),
   );
+  return filter.sample === undefined
+    ? cells
+    : pickSample(cells, filter.sample, seed);
+}
+
+/** Draws some of the cells that can happen. */
+function pickSample(cells: Cell[], count: number, seed: number): Cell[] {
+  const random = createRandom(seed);
+  const rest = cells.filter(cell => cell.absence === undefined);
+  const drawn: Cell[] = [];
+  while (drawn.length < count && rest.length > 0) {
+    drawn.push(...rest.splice(random.nextInt(rest.length), 1));
+  }
+  return drawn;
 }
 
 function pickPairs(
