fix(router): end the connections to peers at a planned stop

Cause: the connections that heartbeats opened stay referenced when their last streams timed out, and keep the process alive for a minute after its stop. Ruled out: callers' connections (the listener and all of them were closed) and a freeze (the process slept in its event loop). A stop in the matrix is now bounded by 20 s, after which the entry is killed and planned-stop fails.

--- a/packages/router/src/peer_clients.ts
+++ b/packages/router/src/peer_clients.ts
@@ -1,7 +1,10 @@
 /** Clients of the other instances, one HTTP/2 connection each. */
 import {createClient} from '@connectrpc/connect';
 import type {Client} from '@connectrpc/connect';
-import {createConnectTransport} from '@connectrpc/connect-node';
+import {
+  Http2SessionManager,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
 import {
   DispatchService,
   PeerService,
@@ -18,6 +21,8 @@
 /** Keeps one client for each address. */
 export interface PeerClients {
   getClient(address: string): PeerClient;
+  /** Ends all connections; an open one would keep the process alive. */
+  close(): void;
 }
 
 /** Idle connections are closed after this time, in milliseconds. */
@@ -26,13 +31,19 @@
 /** Creates an empty pool of peer clients. */
 export function createPeerClients(): PeerClients {
   const clients = new Map<string, PeerClient>();
+  const sessions: Http2SessionManager[] = [];
 
   function createPeerClient(address: string): PeerClient {
+    const baseUrl = `http://${address}`;
+    const sessionManager = new Http2SessionManager(baseUrl, {
+      idleConnectionTimeoutMs: IDLE_CONNECTION_MS,
+    });
+    sessions.push(sessionManager);
     const transport = createConnectTransport({
-      baseUrl: `http://${address}`,
+      baseUrl,
       httpVersion: '2',
       useBinaryFormat: true,
-      idleConnectionTimeoutMs: IDLE_CONNECTION_MS,
+      sessionManager,
     });
     return {
       peer: createClient(PeerService, transport),
@@ -51,5 +62,6 @@
       clients.set(address, client);
       return client;
     },
+    close: () => sessions.forEach(session => session.abort()),
   };
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -181,6 +181,7 @@
           member.stop();
           owner.stop();
           await peerServer?.close();
+          clients.close();
           await engines.close();
           await issuer.stop();
           await metrics.close();
--- a/packages/stand_ins/src/faults/site.ts
+++ b/packages/stand_ins/src/faults/site.ts
@@ -81,6 +81,8 @@
 };
 /** Few, so that a rush of one class makes the owners shed. */
 const MAXIMUM_QUEUED = 12;
+/** Time by which a stop has ended: the answers of the site last a second. */
+const STOP_TIMEOUT_MS = 20_000;
 const UNLIMITED_TOKENS = 10_000_000;
 const examples = fileURLToPath(
   new URL('../../../../../examples/tunis', import.meta.url),
@@ -269,8 +271,14 @@
   return site;
 }
 
-/** Asks an entry to stop; returns its exit code once it has ended. */
+/**
+ * Asks an entry to stop; returns its exit code once it has ended, or null when
+ * it had to be killed.
+ */
 export async function stopGracefully(entry: SiteEntry): Promise<number | null> {
+  const {child} = entry.process;
+  const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS);
   await stopEntry(entry.process);
-  return entry.process.child.exitCode;
+  clearTimeout(timer);
+  return child.exitCode;
 }
