--- a/packages/stand_ins/src/faults/invariants.ts
+++ b/packages/stand_ins/src/faults/invariants.ts
@@ -70,6 +70,8 @@
 
 /** Time by which a server or data centre taken out gets no new work. */
 export const OUT_BOUND_MS = 3000;
+/** Answers to others, as a multiple of the expected, that mean starvation. */
+const STARVATION_FACTOR = 10;
 /** Time that a preempted request needs to end at its engine. */
 const VIEW_AGE_MS = 100;
 /** Time by which a published set is in force everywhere. */
@@ -118,6 +120,27 @@
   return {evidence: chats.length, violations, reason: 'no chat was sent'};
 }
 
+/** Classes that got none of a long run of answers, by their minimum share. */
+function listStarvedClasses(ledger: Ledger, fileSet: FileSet): string[] {
+  const endsAt = findMark(ledger, Mark.LOAD_ENDED)?.at ?? Infinity;
+  const answers = ledger
+    .list('answer')
+    .filter(answer => answer.isWhole && answer.at < endsAt);
+  const sent = new Set(answers.map(answer => answer.className));
+  return [...fileSet.classes.values()].flatMap(({name, minimumShare}) => {
+    const bound = STARVATION_FACTOR / minimumShare;
+    let longest = 0;
+    let length = 0;
+    for (const {className} of answers) {
+      length = className === name ? 0 : length + 1;
+      longest = Math.max(longest, length);
+    }
+    return sent.has(name) && longest > bound
+      ? [`${name} got none of ${longest} answers`]
+      : [];
+  });
+}
+
 /** Every class has an answer between the end of the fault and of the load. */
 function checkStarvation({ledger, fileSet}: JudgedRun): Finding {
   const healedAt = findMark(ledger, Mark.HEALED)?.at;
@@ -131,9 +154,10 @@
       .map(answer => answer.className),
   );
   const sent = new Set(ledger.list('answer').map(answer => answer.className));
-  const violations = [...fileSet.classes.keys()]
+  const unserved = [...fileSet.classes.keys()]
     .filter(name => sent.has(name) && !served.has(name))
     .map(name => `${name} got no answer after the fault`);
+  const violations = [...unserved, ...listStarvedClasses(ledger, fileSet)];
   return {evidence: served.size, violations, reason: ''};
 }
 
