--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -5,28 +5,26 @@
 import type {Clock, Logger, RandomSource} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
+import type {ServiceCall, ServiceClient} from '../service_client.js';
 import {createAdmission} from './admission.js';
 import type {AdmittedRequest} from './admission.js';
 import type {AnswerChunk, ChatRequest} from './chat_request.js';
 import type {DispatchPolicy} from './dispatch_policy.js';
 import {listEntries} from './entry_list.js';
 import type {EntryList} from './entry_list.js';
-import type {Issuer, ServiceCall} from './issuer.js';
 import {listKnownLoads} from './known_loads.js';
 import type {Member} from './member.js';
 import type {Owner} from './owner.js';
 import {createPlacer} from './placer.js';
 import {createRelay} from './relay.js';
 import {describeStatus} from './status.js';
-import {createTicketCalls} from './ticket_calls.js';
-import type {TicketAnswer} from './ticket_calls.js';
+import type {TicketAnswer, TicketCalls} from './ticket_calls.js';
 
 /** Options of {@link createEntry}. */
 export interface EntryOptions {
   identity: Identity;
   /** Returns the `host:port` that callers reach this instance at. */
   getCallerAddress: () => string;
-  ticketKey: string;
   clock: Clock;
   logger: Logger;
   random: RandomSource;
@@ -34,7 +32,8 @@
   member: Member;
   policy: DispatchPolicy;
   owner: Owner;
-  issuer: Issuer;
+  services: ServiceClient;
+  tickets: TicketCalls;
   findFileSet: () => FileSet | undefined;
   isLeaving: () => boolean;
 }
@@ -50,7 +49,8 @@
   ): AsyncIterable<AnswerChunk>;
   getServiceRoute(name: string, method: string, path: string): ServiceRoute;
   callService(call: ServiceCall): Promise<TicketResult>;
-  issueTicket(customerId: string, serviceName: string, key: string): string;
+  /** Issues a ticket for a call; nothing runs. */
+  issueTicket(customerId: string, call: ServiceCall, key: string): string;
   executeTicket(
     customerId: string,
     ticketText: string,
@@ -62,8 +62,7 @@
 
 /** Creates the entry task. */
 export function createEntry(options: EntryOptions): Entry {
-  const {identity, clock, random, clients, member, policy, owner, issuer} =
-    options;
+  const {identity, clock, random, clients, member, policy, owner} = options;
 
   function getFileSet(): FileSet {
     const set = options.findFileSet();
@@ -84,7 +83,16 @@
     getFileSet,
     listLoads: () => listKnownLoads({clock, policy, owner, member}),
   });
-  const relay = createRelay({identity, clients, member, owner, placer, policy});
+  const relay = createRelay({
+    identity,
+    clients,
+    member,
+    owner,
+    placer,
+    policy,
+    isDeterministic: model =>
+      getFileSet().models.get(model)?.deterministic ?? false,
+  });
 
   /** Relays an answer and settles the customer's account by its length. */
   async function* relayAdmitted(
@@ -104,14 +112,6 @@
     }
   }
 
-  const ticketCalls = createTicketCalls({
-    identity,
-    ticketKey: options.ticketKey,
-    clients,
-    member,
-    issuer,
-  });
-
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
@@ -132,11 +132,11 @@
       }
       return route;
     },
-    callService: call => issuer.callService(call),
-    issueTicket: (customerId, serviceName, key) =>
-      issuer.issue(customerId, serviceName, key),
+    callService: call => options.services.callIdempotent(call),
+    issueTicket: (customerId, call, key) =>
+      options.tickets.issue(customerId, call, key),
     executeTicket: (customerId, ticketText, call) =>
-      ticketCalls.execute(customerId, ticketText, call),
+      options.tickets.execute(customerId, ticketText, call),
     listEntries: callerDataCentre =>
       listEntries(
         {
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -137,6 +137,11 @@
     title: 'The answer ended before its terminator.',
     advice: 'Reconnect with the last offset to continue the answer.',
   },
+  answer_not_resumable: {
+    status: 502,
+    title: 'The answer broke and its model cannot continue it.',
+    advice: 'Discard the part received and send the request as a new one.',
+  },
   preempted: {
     status: 503,
     title: 'The request made room for a higher tier.',
@@ -168,6 +173,11 @@
     title: 'The instance that issued the ticket is gone.',
     advice: 'Look up the result at the service before making another call.',
   },
+  ticket_issuer_unreachable: {
+    status: 503,
+    title: 'The instance that issued the ticket could not be reached.',
+    advice: 'Repeat the call with the same ticket; it is never run twice.',
+  },
   key_in_use: {
     status: 409,
     title: 'The idempotency key is in use by another ticket.',
