--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -180,6 +180,7 @@
           member.stop();
           owner.stop();
           await peerServer?.close();
+          clients.close();
           await engines.close();
           await services.close();
           await metrics.close();
