--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,2 +1,10 @@
 /** The caller library. */
-export {};
+export {createClient} from './client.js';
+export type {
+  Client,
+  ClientOptions,
+  ChatAnswer,
+  ChatCall,
+  ServiceAnswer,
+  ServiceRequest,
+} from './client.js';
