--- a/packages/stand_ins/__tests__/client.spec.ts
+++ b/packages/stand_ins/__tests__/client.spec.ts
@@ -49,7 +49,7 @@
 }
 
 /** Makes a chat during which something breaks after the first parts. */
-async function chatThrough(
+async function runChatThrough(
   client: Client,
   name: string,
   breakSomething: () => void,
@@ -81,11 +81,11 @@
 describe('client', () => {
   it('gets the whole answer through broken engines and a killed entry', () =>
     runOnCluster(async (cluster, client) => {
-      await chatThrough(client, 'engine', () =>
+      await runChatThrough(client, 'engine', () =>
         cluster.engines.forEach(engine => engine.restart(true)),
       );
       const [first] = cluster.entries;
-      await chatThrough(client, 'entry', () => first!.child.kill('SIGKILL'));
+      await runChatThrough(client, 'entry', () => first!.child.kill('SIGKILL'));
     }));
 
   it('frees the engines when the caller leaves', () =>
--- a/packages/stand_ins/src/callers/main.ts
+++ b/packages/stand_ins/src/callers/main.ts
@@ -11,8 +11,8 @@
 const CALLS = 24;
 const ENTRIES = 4;
 const TOKENS = 100;
-/** Time from the first call to the failure, in milliseconds. */
-const FAILURE_AFTER_MS = 600;
+const POLL_MS = 10;
+const PATIENCE_MS = 10_000;
 const API_KEY = 'clinic-network-example-key';
 
 const tunis = fileURLToPath(
@@ -81,6 +81,16 @@
   }
 }
 
+/** Every call is at the service, and none is answered yet. */
+async function waitForExecutions({services}: Cluster): Promise<void> {
+  for (let waited = 0; waited < PATIENCE_MS; waited += POLL_MS) {
+    if (services[0]!.countAllExecutions() >= CALLS) {
+      return;
+    }
+    await waitFor(POLL_MS);
+  }
+}
+
 async function measureFailure({name, run}: Failure): Promise<unknown> {
   const cluster = await startCluster({
     fileSetDirectory: tunis,
@@ -94,7 +104,7 @@
     service!.setHold(true);
     const chats = references.map(item => runChat(client, item));
     const calls = references.map(item => runServiceCall(client, item));
-    await waitFor(FAILURE_AFTER_MS);
+    await waitForExecutions(cluster);
     run(cluster);
     service!.setHold(false);
     const answers = countBy(await Promise.all(chats));
