feat(router): a log line and metrics for each request, and an audit trail

Cause: the log told of file sets and tickets only; nothing showed what callers got, which servers went in or out, or who owned them.

Change: the entry given to the routes records each answer: one line with class, customer, tokens, first-token time, code and outcome (whole answers sampled by logs.sampleEvery, failures always), counters by class with tags bounded to the classes of the file set, and attainment of each target. Gauges of owned servers, peers, memory and timer delay. The audit trail names the differences of each accepted file set, servers and data centres in and out, refused sets and ownership gained and lost.

Ruled out: an audit record for every owner change that an instance sees; N instances would each write all of them, so each writes what it gains and loses.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -27,6 +27,7 @@
 export {Policy, createSettings} from './settings.js';
 export type {
   ListenAddress,
+  LogSettings,
   RequestLimits,
   Settings,
   SettingsFile,
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -50,6 +50,12 @@
   watchMs: number;
 }
 
+/** What is logged of the traffic. */
+export interface LogSettings {
+  /** One of this many whole answers has a log line; failures all have one. */
+  sampleEvery: number;
+}
+
 /** Settings with all defaults filled in. */
 export interface Settings {
   instance: {id: string; dataCentre: string};
@@ -58,6 +64,7 @@
   platform: {address: string; fileSetKey: string; instanceService: string};
   metrics?: {address: string};
   logLevel: LogLevel;
+  logs: LogSettings;
   policy: Policy;
   /** Key that authenticates tickets; the same on every instance. */
   ticketKey: string;
@@ -73,6 +80,7 @@
   platform: Partial<Settings['platform']> & {address: string};
   metrics?: {address: string};
   logLevel?: LogLevel;
+  logs?: Partial<LogSettings>;
   policy?: Policy;
   limits?: Partial<RequestLimits>;
   timing?: Partial<Timing>;
@@ -110,6 +118,7 @@
       ...file.platform,
     },
     logLevel: file.logLevel ?? LogLevel.INFO,
+    logs: {sampleEvery: 1, ...file.logs},
     policy: file.policy ?? Policy.OWNER,
     limits: {...defaultLimits, ...file.limits},
     timing: {...defaultTiming, ...file.timing},
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -28,11 +28,14 @@
 import {startPeerServer} from './peer_server.js';
 import type {PeerServer} from './peer_server.js';
 import {createStopSequence} from './stop_sequence.js';
+import {createAuditTrail} from './tasks/audit_trail.js';
 import {createDispatchPolicy} from './tasks/dispatch_policy.js';
 import {createEntry} from './tasks/entry.js';
+import {createGauges} from './tasks/gauges.js';
 import {createIssuer} from './tasks/issuer.js';
 import {createMember} from './tasks/member.js';
 import {createOwner} from './tasks/owner.js';
+import {createRecordedEntry} from './tasks/recorded_entry.js';
 import {createWatcher} from './tasks/watcher.js';
 
 /** Options of {@link createRouter}. */
@@ -75,7 +78,10 @@
   const watcher = createWatcher({
     settings,
     logger,
-    onFileSet: set => owner.applyFileSet(set),
+    onFileSet: set => {
+      auditTrail.applyFileSet(set);
+      owner.applyFileSet(set);
+    },
     onInstances: instances => member.applyInstances(instances),
   });
   const findFileSet = () => watcher.findFileSet()?.set;
@@ -127,6 +133,21 @@
     isLeaving: () => isLeaving,
   });
 
+  const recordedEntry = createRecordedEntry({
+    entry,
+    clock,
+    logger,
+    metrics,
+    findFileSet,
+    sampleEvery: settings.logs.sampleEvery,
+  });
+  const auditTrail = createAuditTrail({
+    instanceId: id,
+    logger,
+    findOwner: serverId => policy.findOwner(serverId),
+  });
+  const gauges = createGauges({clock, metrics, member, owner});
+
   async function executeTicket(request: ExecuteTicketRequest) {
     try {
       const ticket = decodeTicket(request.ticket, settings.ticketKey);
@@ -180,6 +201,8 @@
           await watcher.stop();
           member.stop();
           owner.stop();
+          auditTrail.stop();
+          gauges.stop();
           await peerServer?.close();
           await engines.close();
           await issuer.stop();
@@ -192,10 +215,12 @@
   return {
     start: async () => {
       peerServer = await startPeerServer(settings.peers, addPeerRoutes);
-      callerServer = await startCallerServer(entry, settings);
+      callerServer = await startCallerServer(recordedEntry, settings);
       watcher.start();
       member.start();
       owner.start();
+      auditTrail.start();
+      gauges.start();
       const addresses = {
         callerAddress: callerServer.address,
         peerAddress: peerServer.address,
--- /dev/null
+++ b/packages/router/src/tasks/recorded_entry.ts
@@ -0,0 +1,140 @@
+/** The entry with a log line and metrics for every request. */
+import type {FileSet} from '@buckthornbeam/config';
+import type {TicketResult} from '@buckthornbeam/decisions';
+import {toRouterError} from '@buckthornbeam/shared';
+import type {Clock, Logger, Metrics, RouterError} from '@buckthornbeam/shared';
+import type {AnswerChunk, ChatRequest} from './chat_request.js';
+import type {Entry} from './entry.js';
+import type {ServiceCall} from './issuer.js';
+import {checkTargets, createRequestRecorder} from './request_record.js';
+import type {RequestRecord} from './request_record.js';
+
+/** Options of {@link createRecordedEntry}. */
+export interface RecordedEntryOptions {
+  entry: Entry;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  findFileSet: () => FileSet | undefined;
+  /** One of this many whole answers has a log line at info. */
+  sampleEvery: number;
+}
+
+/** Stands for classes that the file set does not name, to bound the tags. */
+const UNKNOWN_CLASS = 'unknown';
+
+/** Outcome of a whole answer, in logs and tags. */
+const OK = 'ok';
+
+interface FinishedRequest {
+  request: ChatRequest;
+  customerId: string;
+  record: RequestRecord;
+  error?: RouterError;
+}
+
+/** Creates an entry that records what its callers got. */
+export function createRecordedEntry(options: RecordedEntryOptions): Entry {
+  const {entry, clock, logger, metrics, findFileSet, sampleEvery} = options;
+  let finished = 0;
+
+  function countRequest(done: FinishedRequest): void {
+    const {request, record, error} = done;
+    const requestClass = findFileSet()?.classes.get(request.className);
+    const tags = {class: requestClass?.name ?? UNKNOWN_CLASS};
+    metrics.count('requests', 1, {...tags, code: error?.code ?? OK});
+    metrics.count('tokens', record.tokens, tags);
+    metrics.timing('request_ms', record.totalMs, tags);
+    if (record.firstTokenMs !== undefined) {
+      metrics.timing('first_token_ms', record.firstTokenMs, tags);
+    }
+    if (!requestClass) {
+      return;
+    }
+    const met = checkTargets(record, requestClass.targets, !error);
+    for (const [target, isMet] of Object.entries(met)) {
+      metrics.count('targets', 1, {...tags, target, met: String(isMet)});
+    }
+  }
+
+  function logRequest(done: FinishedRequest): void {
+    const {request, customerId, record, error} = done;
+    finished += 1;
+    const isLogged = error !== undefined || finished % sampleEvery === 0;
+    const write = isLogged ? logger.info : logger.debug;
+    write('request', {
+      request: request.requestId,
+      class: request.className,
+      customer: customerId,
+      model: request.model,
+      tokens: record.tokens,
+      firstTokenMs: record.firstTokenMs && Math.round(record.firstTokenMs),
+      totalMs: Math.round(record.totalMs),
+      code: error?.code ?? OK,
+      outcome: error?.outcome ?? 'completed',
+      detail: error?.message,
+    });
+  }
+
+  async function* answer(
+    customerId: string,
+    request: ChatRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<AnswerChunk> {
+    const recorder = createRequestRecorder(clock.now());
+    let error: RouterError | undefined;
+    let isEnded = false;
+    try {
+      for await (const chunk of entry.answer(customerId, request, signal)) {
+        recorder.observe(chunk, clock.now());
+        yield chunk;
+      }
+      isEnded = true;
+    } catch (failure) {
+      error = toRouterError(failure);
+      throw error;
+    } finally {
+      const record = recorder.finish(clock.now());
+      // A caller that leaves ends the generator without an error.
+      if (isEnded || error) {
+        const done = {request, customerId, record, ...(error ? {error} : {})};
+        countRequest(done);
+        logRequest(done);
+      } else {
+        metrics.count('requests_left', 1);
+      }
+    }
+  }
+
+  function recordCall<T extends TicketResult>(
+    name: string,
+    call: ServiceCall,
+    result: T,
+  ): T {
+    const code = result.code || OK;
+    const {outcome} = result;
+    metrics.count(name, 1, {service: call.serviceName, code, outcome});
+    logger.info(name, {
+      service: call.serviceName,
+      method: call.method,
+      path: call.path,
+      status: result.status,
+      code,
+      outcome,
+    });
+    return result;
+  }
+
+  return {
+    ...entry,
+    answer,
+    callService: async call =>
+      recordCall('service_call', call, await entry.callService(call)),
+    executeTicket: async (customerId, ticketText, call) =>
+      recordCall(
+        'ticket_call',
+        call,
+        await entry.executeTicket(customerId, ticketText, call),
+      ),
+  };
+}
--- a/packages/router/src/tasks/watcher.ts
+++ b/packages/router/src/tasks/watcher.ts
@@ -62,7 +62,11 @@
         acceptBundle(message.bundle, message.source);
       } catch (error) {
         const {code, message: detail} = toRouterError(error);
-        logger.warn('file_set_refused', {code, detail, source: message.source});
+        logger.audit('file_set_refused', {
+          code,
+          detail,
+          source: message.source,
+        });
       }
     },
     instances: message => onInstances(message.instances),
