--- a/packages/router/src/engine_client.ts
+++ b/packages/router/src/engine_client.ts
@@ -1,7 +1,11 @@
 /** Client of the engines: OpenAI-compatible streamed completions. */
-import {RouterError, toRouterError} from '@buckthornbeam/shared';
-import {createAttemptProgress, resolveOutcome} from '@buckthornbeam/decisions';
-import type {AttemptProgress} from '@buckthornbeam/decisions';
+import {RouterError} from '@buckthornbeam/shared';
+import {
+  AttemptEvent,
+  createAttemptRecord,
+  isConnectFailure,
+} from '@buckthornbeam/decisions';
+import type {AttemptRecord} from '@buckthornbeam/decisions';
 import {createParser} from 'eventsource-parser';
 import {Agent, request} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -37,14 +41,6 @@
   close(): Promise<void>;
 }
 
-/** Errors that undici raises before a connection exists. */
-const CONNECT_ERRORS = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Status codes by which an engine says that it did not run the request. */
 const REFUSAL_STATUSES = new Set([429, 503]);
 
@@ -52,18 +48,32 @@
 
 const TERMINATOR = '[DONE]';
 
-function toConnectError(error: unknown, progress: AttemptProgress) {
-  const code = (error as {code?: string}).code ?? '';
-  if (CONNECT_ERRORS.has(code)) {
-    return new RouterError('server_unreachable', `no connection: ${code}`);
+function toOpenError(
+  error: unknown,
+  attempt: AttemptRecord,
+  signal: AbortSignal,
+): RouterError {
+  if (!isConnectFailure(error)) {
+    attempt.record(AttemptEvent.WRITTEN);
   }
-  progress.bytesWritten = true;
-  return toRouterError(error, resolveOutcome(progress));
+  const code = signal.aborted ? 'cancelled' : 'server_unreachable';
+  return new RouterError(code, (error as Error).message, {
+    outcome: attempt.getOutcome(),
+  });
 }
 
-function parseChunk(data: string): EngineChunk {
-  const event = JSON.parse(data) as {offset?: number; tokens?: number};
-  return {offset: event.offset ?? 0, tokens: event.tokens ?? 0, data};
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Parses an event; without an offset it follows the one before it. */
+function parseChunk(data: string, position: number): EngineChunk {
+  const event = JSON.parse(data) as {offset?: unknown; tokens?: unknown};
+  const {offset = position, tokens = 1} = event;
+  if (!isCount(offset) || !isCount(tokens)) {
+    throw new RouterError('answer_truncated', 'an event has no valid offset');
+  }
+  return {offset, tokens, data};
 }
 
 async function* parseEvents(
@@ -84,7 +94,7 @@
 
   async function openStream(
     call: EngineCall,
-    progress: AttemptProgress,
+    attempt: AttemptRecord,
   ): Promise<Dispatcher.ResponseData> {
     try {
       return await request(`http://${call.address}/v1/chat/completions`, {
@@ -103,50 +113,56 @@
         body: call.body,
       });
     } catch (error) {
-      throw toConnectError(error, progress);
+      throw toOpenError(error, attempt, call.signal);
     }
   }
 
   async function checkStatus(
     response: Dispatcher.ResponseData,
-    progress: AttemptProgress,
+    attempt: AttemptRecord,
   ): Promise<void> {
     if (response.statusCode === 200) {
       return;
     }
     const text = await response.body.text();
-    progress.refusedByServer = REFUSAL_STATUSES.has(response.statusCode);
+    if (REFUSAL_STATUSES.has(response.statusCode)) {
+      attempt.record(AttemptEvent.REFUSED);
+    }
     throw new RouterError(
       'server_refused',
       `the engine answered ${response.statusCode}: ${text.slice(0, 200)}`,
-      {outcome: resolveOutcome(progress)},
+      {outcome: attempt.getOutcome()},
     );
   }
 
   return {
     async *streamAnswer(call) {
-      const progress = createAttemptProgress();
-      const response = await openStream(call, progress);
-      progress.bytesWritten = true;
-      await checkStatus(response, progress);
+      const attempt = createAttemptRecord();
+      const response = await openStream(call, attempt);
+      attempt.record(AttemptEvent.WRITTEN);
+      await checkStatus(response, attempt);
+      attempt.record(AttemptEvent.ANSWERING);
+      let position = 0;
       try {
         for await (const data of parseEvents(response.body)) {
           if (data === TERMINATOR) {
             return;
           }
-          yield parseChunk(data);
+          const chunk = parseChunk(data, position);
+          position = chunk.offset + chunk.tokens;
+          yield chunk;
         }
       } catch (error) {
         throw new RouterError(
           'answer_truncated',
           `the engine's stream broke: ${(error as Error).message}`,
-          {outcome: resolveOutcome(progress)},
+          {outcome: attempt.getOutcome()},
         );
       }
       throw new RouterError(
         'answer_truncated',
         "the engine's stream ended without a terminator",
-        {outcome: resolveOutcome(progress)},
+        {outcome: attempt.getOutcome()},
       );
     },
     close: () => agent.destroy(),
--- a/packages/router/src/http/chat_route.ts
+++ b/packages/router/src/http/chat_route.ts
@@ -4,8 +4,8 @@
 import type {AnswerChunk, ChatRequest} from '../tasks/chat_request.js';
 import type {Entry} from '../tasks/entry.js';
 import {checkChatFields, getMaximumTokens} from './chat_fields.js';
-import {createJsonResponse} from './json_response.js';
 import {buildProblem, createProblemResponse} from './problem.js';
+import {createWholeResponse, readWholeAnswer} from './whole_answer.js';
 
 const encoder = new TextEncoder();
 
@@ -15,6 +15,21 @@
   return encoder.encode(`${nameLine}${idLine}data: ${data}\n\n`);
 }
 
+/** Largest offset that a caller can resume from, in tokens. */
+const MAXIMUM_OFFSET = 0xffffffff;
+
+function parseResumeOffset(header: string | null): number {
+  const offset = Number(header ?? 0);
+  const isValid = /^\d*$/.test(header ?? '') && offset <= MAXIMUM_OFFSET;
+  if (!isValid) {
+    throw new RouterError(
+      'invalid_request',
+      'last-event-id has to be the id of a received event',
+    );
+  }
+  return offset;
+}
+
 /** Builds the chat request of an HTTP call; throws a {@link RouterError}. */
 export function parseChatRequest(
   request: Request,
@@ -28,13 +43,17 @@
       'the header x-request-class is missing',
     );
   }
+  const resumeOffset = parseResumeOffset(request.headers.get('last-event-id'));
+  if (resumeOffset > 0 && body['stream'] !== true) {
+    throw new RouterError('invalid_request', 'only a stream can be resumed');
+  }
   return {
     requestId: request.headers.get('x-request-id') ?? randomUUID(),
     className,
     model: body['model'] as string,
     body,
     maximumTokens: getMaximumTokens(body),
-    resumeOffset: Number(request.headers.get('last-event-id') ?? 0),
+    resumeOffset,
   };
 }
 
@@ -66,49 +85,12 @@
     },
     cancel() {
       abort.abort();
+      // Ends a generator that waits to be read from.
+      void chunks.return?.();
     },
   });
 }
 
-/** Text and totals of a whole answer. */
-async function readWholeAnswer(
-  first: IteratorResult<AnswerChunk>,
-  chunks: AsyncIterator<AnswerChunk>,
-): Promise<{text: string; tokens: number}> {
-  let text = '';
-  let tokens = 0;
-  for (let next = first; !next.done; next = await chunks.next()) {
-    const event = JSON.parse(next.value.data) as {
-      choices?: Array<{delta?: {content?: string}}>;
-    };
-    text += event.choices?.[0]?.delta?.content ?? '';
-    tokens = next.value.offset + next.value.tokens;
-  }
-  return {text, tokens};
-}
-
-function createWholeResponse(
-  request: ChatRequest,
-  answer: {text: string; tokens: number},
-): Response {
-  const completion = {
-    id: request.requestId,
-    object: 'chat.completion',
-    model: request.model,
-    choices: [
-      {
-        index: 0,
-        message: {role: 'assistant', content: answer.text},
-        finish_reason: 'stop',
-      },
-    ],
-    usage: {completion_tokens: answer.tokens},
-  };
-  return createJsonResponse(completion, {
-    headers: {'x-request-id': request.requestId},
-  });
-}
-
 /** Answers a chat request; errors before the first chunk have a status. */
 export async function answerChat(
   entry: Entry,
--- a/packages/router/src/tasks/recorded_entry.ts
+++ b/packages/router/src/tasks/recorded_entry.ts
@@ -5,7 +5,7 @@
 import type {Clock, Logger, Metrics, RouterError} from '@buckthornbeam/shared';
 import type {AnswerChunk, ChatRequest} from './chat_request.js';
 import type {Entry} from './entry.js';
-import type {ServiceCall} from './issuer.js';
+import type {ServiceCall} from '../service_client.js';
 import {checkTargets, createRequestRecorder} from './request_record.js';
 import type {RequestRecord} from './request_record.js';
 
--- a/packages/router/src/tasks/ticket_calls.ts
+++ b/packages/router/src/tasks/ticket_calls.ts
@@ -1,82 +1,250 @@
 /** Calls with tickets: each goes to the issuer of its ticket. */
-import {decodeTicket} from '@buckthornbeam/decisions';
-import type {Ticket, TicketResult} from '@buckthornbeam/decisions';
-import {Outcome, RouterError} from '@buckthornbeam/shared';
+import {create} from '@bufbuild/protobuf';
+import type {FileSet} from '@buckthornbeam/config';
+import {
+  computeBodyDigest,
+  decodeTicket,
+  validateTicketCall,
+} from '@buckthornbeam/decisions';
+import type {Ticket, TicketCall} from '@buckthornbeam/decisions';
+import type {Peer} from '@buckthornbeam/membership';
+import {
+  ClaimKeyResponseSchema,
+  ExecuteTicketResponseSchema,
+} from '@buckthornbeam/protocol';
+import type {
+  AdoptTicketsRequest,
+  ClaimKeyRequest,
+  ClaimKeyResponse,
+  ExecuteTicketRequest,
+  ExecuteTicketResponse,
+} from '@buckthornbeam/protocol';
+import {
+  Outcome,
+  RouterError,
+  rankByRendezvous,
+  toRouterError,
+} from '@buckthornbeam/shared';
+import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {Identity} from '../identity.js';
 import type {PeerClients} from '../peer_clients.js';
-import type {Issuer, ServiceCall} from './issuer.js';
+import type {ServiceCall, ServiceClient} from '../service_client.js';
+import {createIssuer} from './issuer.js';
+import type {TicketAnswer} from './issuer.js';
+import {createKeyClaims} from './key_claims.js';
 import type {Member} from './member.js';
+import {toAdoptRequest, toHandOver} from './ticket_messages.js';
 
-/** Result of a ticket; `replayed` when an earlier call executed it. */
-export type TicketAnswer = TicketResult & {replayed: boolean};
+export type {TicketAnswer} from './issuer.js';
 
 /** Options of {@link createTicketCalls}. */
 export interface TicketCallsOptions {
   identity: Identity;
+  /** Key that authenticates tickets; the same on every instance. */
   ticketKey: string;
+  clock: Clock;
+  logger: Logger;
   clients: PeerClients;
   member: Member;
-  issuer: Issuer;
+  services: ServiceClient;
+  getFileSet: () => FileSet;
+  isLeaving: () => boolean;
 }
 
-/** Executes calls that carry a ticket. */
+/** Issues tickets and executes the calls that carry one. */
 export interface TicketCalls {
+  /** Issues a ticket for a call; nothing runs. */
+  issue(customerId: string, call: ServiceCall, key: string): string;
   execute(
     customerId: string,
     ticketText: string,
     call: ServiceCall,
   ): Promise<TicketAnswer>;
+  /** Executes a ticket that a peer forwarded. */
+  handleExecute(request: ExecuteTicketRequest): Promise<ExecuteTicketResponse>;
+  handleClaimKey(request: ClaimKeyRequest): ClaimKeyResponse;
+  handleAdopt(request: AdoptTicketsRequest): {adopted: boolean};
+  /** Ends claims, waits for running calls and passes the table on. */
+  handOver(): Promise<void>;
+  /** Describes what would be lost without a hand-over. */
+  describePending(): string;
 }
 
-function checkTicket(
-  ticket: Ticket,
-  customerId: string,
-  call: ServiceCall,
-): void {
-  if (
-    ticket.customerId !== customerId ||
-    ticket.serviceName !== call.serviceName
-  ) {
-    throw new RouterError('ticket_invalid', 'the ticket is for another call');
-  }
+/** Candidates that can be the successor of a stopped issuer. */
+const MAXIMUM_SUCCESSORS = 3;
+
+const HAND_OVER_TIMEOUT_MS = 2000;
+
+function toTicketCall(customerId: string, call: ServiceCall): TicketCall {
+  const {serviceName, method, path, body} = call;
+  const bodyDigest = computeBodyDigest(body);
+  return {customerId, serviceName, method, path, bodyDigest};
+}
+
+/** Whether the answer comes from an instance that no longer has the ticket. */
+function isElsewhere({code, replayed}: ExecuteTicketResponse): boolean {
+  return !replayed && (code === 'ticket_issuer_gone' || code === 'leaving');
 }
 
 /** Creates the ticket calls of one instance. */
 export function createTicketCalls(options: TicketCallsOptions): TicketCalls {
-  const {identity, ticketKey, clients, member, issuer} = options;
+  const {identity, ticketKey, clients, member, logger} = options;
+  const keys = createKeyClaims(options);
+  const issuer = createIssuer({...options, keys});
 
-  async function forwardToIssuer(
-    ticket: Ticket,
-    ticketText: string,
-    call: ServiceCall,
-  ): Promise<TicketAnswer> {
-    const peer = member.findPeer(ticket.issuerId);
-    if (!peer) {
+  function toAnswer(answer: ExecuteTicketResponse): TicketAnswer {
+    return {...answer, outcome: answer.outcome as Outcome};
+  }
+
+  async function sendTicket(
+    peer: Peer,
+    request: Omit<ExecuteTicketRequest, '$typeName'>,
+  ): Promise<ExecuteTicketResponse> {
+    const client = clients.getClient(peer.peerAddress);
+    const {maximumRequestMs} = options.getFileSet().files['service.json'];
+    try {
+      return await client.ticket.executeTicket(request, {
+        timeoutMs: maximumRequestMs,
+      });
+    } catch (error) {
+      // An earlier presentation may have been executed in any case.
       throw new RouterError(
-        'ticket_issuer_gone',
-        `${ticket.issuerId} is gone`,
+        'ticket_issuer_unreachable',
+        `no answer from ${peer.id}: ${(error as Error).message}`,
         {outcome: Outcome.UNKNOWN},
       );
     }
+  }
+
+  /** The issuer's address first, then who may have adopted its tickets. */
+  function listExecutors(ticket: Ticket): Peer[] {
+    const peers = member.listPeers();
+    const ids = peers.map(peer => peer.id);
+    const ranked = rankByRendezvous(ticket.issuerIncarnation, ids)
+      .filter(id => id !== ticket.issuerId)
+      .slice(0, MAXIMUM_SUCCESSORS);
+    return [ticket.issuerId, ...ranked].flatMap(
+      id => peers.find(peer => peer.id === id) ?? [],
+    );
+  }
+
+  /** Only the incarnation that holds the tickets answers other than "gone". */
+  async function forwardTicket(
+    ticket: Ticket,
+    request: Omit<ExecuteTicketRequest, '$typeName'>,
+  ): Promise<TicketAnswer> {
+    let unreachable: unknown;
+    for (const peer of listExecutors(ticket)) {
+      try {
+        const answer = await sendTicket(peer, request);
+        if (!isElsewhere(answer)) {
+          return toAnswer(answer);
+        }
+      } catch (error) {
+        unreachable ??= error;
+      }
+    }
+    throw (
+      unreachable ??
+      new RouterError('ticket_issuer_gone', `${ticket.issuerId} is gone`, {
+        outcome: Outcome.UNKNOWN,
+      })
+    );
+  }
+
+  async function executeForwarded(
+    request: ExecuteTicketRequest,
+  ): Promise<TicketAnswer> {
+    const ticket = decodeTicket(request.ticket, ticketKey);
+    validateTicketCall(ticket, toTicketCall(request.customerId, request));
+    return issuer.execute(ticket, request);
+  }
+
+  async function sendHandOver(peer: Peer): Promise<void> {
     const client = clients.getClient(peer.peerAddress);
-    const response = await client.ticket.executeTicket({
-      ticket: ticketText,
-      customerId: ticket.customerId,
-      serviceName: call.serviceName,
-      path: call.path,
-      contentType: call.contentType,
-      body: call.body,
-    });
-    return {...response, outcome: response.outcome as Outcome};
+    for (const handOver of issuer.handOver(peer.incarnation!)) {
+      const {adopted} = await client.ticket.adoptTickets(
+        toAdoptRequest(handOver),
+        {timeoutMs: HAND_OVER_TIMEOUT_MS},
+      );
+      logger.info('tickets_handed_over', {
+        incarnation: handOver.incarnation,
+        successor: peer.id,
+        records: handOver.records.length,
+        adopted,
+      });
+    }
+  }
+
+  /** One successor only: a second one might execute what the first has. */
+  function findSuccessor(): Peer | undefined {
+    const peers = member
+      .listPeers()
+      .filter(
+        peer =>
+          peer.state === 'active' &&
+          peer.ready &&
+          peer.incarnation !== undefined,
+      );
+    const [first] = rankByRendezvous(
+      identity.incarnation,
+      peers.map(peer => peer.id),
+    );
+    return peers.find(peer => peer.id === first);
   }
 
   return {
+    issue: (customerId, call, key) => {
+      if (options.isLeaving()) {
+        throw new RouterError('leaving', 'no tickets are issued any more');
+      }
+      return issuer.issue(toTicketCall(customerId, call), key);
+    },
     execute: async (customerId, ticketText, call) => {
       const ticket = decodeTicket(ticketText, ticketKey);
-      checkTicket(ticket, customerId, call);
-      return ticket.issuerId === identity.instanceId
+      validateTicketCall(ticket, toTicketCall(customerId, call));
+      return issuer.hasIncarnation(ticket.issuerIncarnation)
         ? issuer.execute(ticket, call)
-        : forwardToIssuer(ticket, ticketText, call);
+        : forwardTicket(ticket, {
+            ...call,
+            ticket: ticketText,
+            customerId,
+            idempotencyKey: ticket.idempotencyKey,
+          });
+    },
+    handleExecute: async request => {
+      try {
+        const answer = await executeForwarded(request);
+        return create(ExecuteTicketResponseSchema, answer);
+      } catch (error) {
+        const {code, message: detail, outcome} = toRouterError(error);
+        return create(ExecuteTicketResponseSchema, {code, detail, outcome});
+      }
+    },
+    handleClaimKey: request => {
+      const {isGranted: granted, holderTicketId} = keys.handleClaim(request);
+      return create(ClaimKeyResponseSchema, {granted, holderTicketId});
+    },
+    handleAdopt: request => ({
+      adopted: issuer.adopt(toHandOver(request)),
+    }),
+    handOver: async () => {
+      await issuer.drain();
+      const peer = findSuccessor();
+      if (!peer) {
+        logger.warn('tickets_lost', {detail: 'no successor is ready'});
+        return;
+      }
+      try {
+        await sendHandOver(peer);
+      } catch (error) {
+        const detail = (error as Error).message;
+        logger.warn('tickets_lost', {successor: peer.id, detail});
+      }
+    },
+    describePending: () => {
+      const count = issuer.countRunning();
+      return count > 0 ? `${count} calls with tickets` : '';
     },
   };
 }
