--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,11 +25,13 @@
 import type {PeerServer} from './peer_server.js';
 import {createServiceClient} from './service_client.js';
 import {createStopSequence} from './stop_sequence.js';
+import {createAuditTrail} from './tasks/audit_trail.js';
 import {createDispatchPolicy} from './tasks/dispatch_policy.js';
 import {createEntry} from './tasks/entry.js';
-
+import {createGauges} from './tasks/gauges.js';
 import {createMember} from './tasks/member.js';
 import {createOwner} from './tasks/owner.js';
+import {createRecordedEntry} from './tasks/recorded_entry.js';
 import {createTicketCalls} from './tasks/ticket_calls.js';
 import {createWatcher} from './tasks/watcher.js';
 
@@ -73,7 +75,10 @@
   const watcher = createWatcher({
     settings,
     logger,
-    onFileSet: set => owner.applyFileSet(set),
+    onFileSet: set => {
+      auditTrail.applyFileSet(set);
+      owner.applyFileSet(set);
+    },
     onInstances: instances => member.applyInstances(instances),
   });
   const findFileSet = () => watcher.findFileSet()?.set;
@@ -135,6 +140,21 @@
     getPeerTraffic: () => peerServer!.getTraffic(),
   });
 
+  const recordedEntry = createRecordedEntry({
+    entry,
+    clock,
+    logger,
+    metrics,
+    findFileSet,
+    sampleEvery: settings.logs.sampleEvery,
+  });
+  const auditTrail = createAuditTrail({
+    instanceId: id,
+    logger,
+    findOwner: serverId => policy.findOwner(serverId),
+  });
+  const gauges = createGauges({clock, metrics, member, owner});
+
   function addPeerRoutes(router: ConnectRouter): void {
     router.service(PeerService, {
       heartbeat: request => member.handleHeartbeat(request),
@@ -179,6 +199,8 @@
           await watcher.stop();
           member.stop();
           owner.stop();
+          auditTrail.stop();
+          gauges.stop();
           await peerServer?.close();
           clients.close();
           await engines.close();
@@ -192,10 +214,12 @@
   return {
     start: async () => {
       peerServer = await startPeerServer(settings.peers, addPeerRoutes);
-      callerServer = await startCallerServer(entry, settings);
+      callerServer = await startCallerServer(recordedEntry, settings);
       watcher.start();
       member.start();
       owner.start();
+      auditTrail.start();
+      gauges.start();
       const addresses = {
         callerAddress: callerServer.address,
         peerAddress: peerServer.address,
