--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,10 +1,14 @@
 /** Membership, ownership and leases of the entry instances. */
+export {MAXIMUM_CELL_SIZE} from './cells.js';
+export type {Cell, CellMember} from './cells.js';
+export type {Heartbeat, HeartbeatReceipt} from './heartbeat.js';
 export type {ListedInstance} from './instance_list.js';
+export type {LoanTerms} from './lender.js';
 export {createMembership} from './membership.js';
-export type {
-  Heartbeat,
-  Membership,
-  MembershipOptions,
-  Peer,
-  ServerLoad,
-} from './membership.js';
+export type {Membership, MembershipOptions, SelfState} from './membership.js';
+export {findOwnerHash, hashMember} from './ownership.js';
+export type {Peer} from './peer_table.js';
+export type {ServerLoad} from './server_load.js';
+export {computeShareLimit} from './share_limit.js';
+export {buildTopology, buildView} from './view.js';
+export type {Topology, View} from './view.js';
