feat(membership): lend shares of limits to owners by lease

Ownership by each instance's own view let two instances use the whole limit of a server during a split, a pause or a change of the list. Each member now lends its share of every server to one owner at a time; the loan rides on heartbeats and ends by the borrower's own clock, anchored to the heartbeat that the lender acknowledged.

Cause: a member cut off from the platform counted a majority that was on a newer view. Ruled out: the lender's hand-over and the anchors. Cells bound the members that exchange heartbeats, a pair takes turns in calling, and three instances of each data centre read the platform for the others.

--- a/packages/membership/__tests__/support/fleet.ts
+++ b/packages/membership/__tests__/support/fleet.ts
@@ -72,14 +72,14 @@
 
   function send(from: Node, to: Node, isAnswer: boolean): void {
     const heartbeat = from.membership.makeHeartbeat(to.id, getTime(from));
-    if (heartbeat && !fleet.cuts.has(`${from.id}>${to.id}`)) {
+    if (!fleet.cuts.has(`${from.id}>${to.id}`)) {
       const delay = random.nextInt(MAXIMUM_DELAY_MS);
       const arrivesAt = fleet.now + delay;
       messages.push({from, to, heartbeat, isAnswer, arrivesAt});
     }
   }
 
-  function deliver(message: Message): boolean {
+  function handleMessage(message: Message): boolean {
     const {from, to, heartbeat, isAnswer, arrivesAt} = message;
     if (nodes.get(to.id) !== to) {
       return true;
@@ -171,7 +171,7 @@
         fleet.now += STEP_MS;
         // A process that wakes late may dispatch before it reads anything.
         check();
-        messages = messages.filter(message => !deliver(message));
+        messages = messages.filter(message => !handleMessage(message));
         for (const node of nodes.values()) {
           if (fleet.isPaused(node)) {
             continue;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -2,11 +2,14 @@
  * Membership of one instance: views, peers, lent shares and isolation. Pure:
  * the time comes with each call, and heartbeats are values that the task sends.
  */
+import {compareVersions} from '@buckthornbeam/config';
 import type {FileSetVersion} from '@buckthornbeam/config';
 import {createBorrower} from './borrower.js';
+import type {CellMember} from './cells.js';
 import type {Heartbeat, HeartbeatReceipt} from './heartbeat.js';
 import type {ListedInstance} from './instance_list.js';
 import {createLender} from './lender.js';
+import type {LoanTerms} from './lender.js';
 import {findOwnerHash} from './ownership.js';
 import {createPeerTable} from './peer_table.js';
 import type {Peer} from './peer_table.js';
@@ -47,9 +50,10 @@
     now: number,
   ): void;
   /** Records that the platform confirmed the instance list. */
-  recordReading(now: number): void;
+  recordReading(readAt: number): void;
   setSelf(self: SelfState): void;
-  makeHeartbeat(peerId: string, now: number): Heartbeat | undefined;
+  /** Makes a heartbeat; one to an unlisted instance lends nothing. */
+  makeHeartbeat(peerId: string, now: number): Heartbeat;
   /** Applies a heartbeat, received or answered; returns whether it was used. */
   applyHeartbeat(heartbeat: Heartbeat, now: number): boolean;
   recordProbe(peerId: string, isReached: boolean, now: number): void;
@@ -76,6 +80,8 @@
 /** Factor on the lag when no majority confirms a new view. */
 const UNCONFIRMED_LAG_FACTOR = 6;
 
+const NO_LOAN: LoanTerms = {version: 0, isGranted: false, lent: [], next: []};
+
 /** Creates the membership of a new incarnation. */
 export function createMembership(options: MembershipOptions): Membership {
   const {selfId, incarnation, startedAt, leaseMs, listLagMs} = options;
@@ -104,6 +110,7 @@
   let isSelfListedLeaving = false;
   let sequence = 0;
   let readingAt: number | undefined;
+  let hasComparedFileSet = false;
 
   function getSelfHash(): number {
     return history.findNewest()?.findMember(selfId)?.hash ?? -1;
@@ -113,8 +120,26 @@
     return history.findNewest()?.hash ?? '';
   }
 
+  /** Whether no heard member of a majority holds a greater file set. */
+  function isFileSetCurrent(own: FileSetVersion, now: number): boolean {
+    const cell = findOwnCell();
+    const held = cell
+      .map(member => peers.find(member.id))
+      .filter(peer => peer?.heardAt !== undefined)
+      .map(peer => peer!.fileSet);
+    if (held.some(version => version && compareVersions(version, own) > 0)) {
+      return false;
+    }
+    // Peers that never answer delay the start, and do not prevent it.
+    return (held.length + 1) * 2 > cell.length || now >= startedAt + settleMs;
+  }
+
   function isReady(now: number): boolean {
-    return self.fileSet !== undefined && now >= startedAt + leaseWaitMs;
+    if (self.fileSet === undefined || now < startedAt + leaseWaitMs) {
+      return false;
+    }
+    hasComparedFileSet ||= isFileSetCurrent(self.fileSet, now);
+    return hasComparedFileSet;
   }
 
   function isLeaving(): boolean {
@@ -165,16 +190,20 @@
     }
   }
 
+  /** Whether a majority of the cell answered lately, from the same view. */
   function hasMajority(now: number): boolean {
     const cell = findOwnCell();
-    const confirmed = cell.filter(member => {
-      const confirmedAt = peers.find(member.id)?.confirmedAt;
+    const viewHash = getViewHash();
+    const isConfirming = ({id}: CellMember) => {
+      const peer = peers.find(id);
       return (
-        member.id === selfId ||
-        (confirmedAt !== undefined && now < confirmedAt + leaseMs)
+        id === selfId ||
+        (peer?.confirmedAt !== undefined &&
+          peer.viewHash === viewHash &&
+          now < peer.confirmedAt + leaseMs)
       );
-    });
-    return confirmed.length * 2 > cell.length;
+    };
+    return cell.filter(isConfirming).length * 2 > cell.length;
   }
 
   function isIsolated(now: number): boolean {
@@ -223,17 +252,14 @@
       history.accept(buildView(list, topology), now);
       updateCandidates(now);
     },
-    recordReading: now => {
-      readingAt = now;
+    recordReading: readAt => {
+      readingAt = Math.max(readingAt ?? -Infinity, readAt);
     },
     setSelf: state => {
       self = state;
     },
     makeHeartbeat: (peerId, now) => {
       const peer = peers.find(peerId);
-      if (!peer) {
-        return undefined;
-      }
       sequence += 1;
       sentAt.set(sequence, now);
       return {
@@ -241,13 +267,13 @@
         incarnation,
         memberHash: getSelfHash(),
         sequence,
-        receipt: makeReceipt(peer),
+        receipt: peer && makeReceipt(peer),
         ready: isReady(now),
         leaving: isLeaving(),
         fileSet: self.fileSet,
         viewHash: getViewHash(),
         readingAgeMs: computeReadingAge(now),
-        loan: lender.makeTerms(peer.hash, now),
+        loan: peer ? lender.makeTerms(peer.hash, now) : NO_LOAN,
         loads: self.loads,
       };
     },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,7 +7,9 @@
   DispatchService,
   ExecuteTicketResponseSchema,
   FetchFileSetResponseSchema,
+  FetchInstancesResponseSchema,
   PeerService,
+  ProbeResponseSchema,
   TicketService,
 } from '@buckthornbeam/protocol';
 import type {ExecuteTicketRequest} from '@buckthornbeam/protocol';
@@ -28,6 +30,7 @@
 import {startPeerServer} from './peer_server.js';
 import type {PeerServer} from './peer_server.js';
 import {createStopSequence} from './stop_sequence.js';
+import {createDispatchPolicy} from './tasks/dispatch_policy.js';
 import {createEntry} from './tasks/entry.js';
 import {createIssuer} from './tasks/issuer.js';
 import {createMember} from './tasks/member.js';
@@ -74,8 +77,14 @@
   const watcher = createWatcher({
     settings,
     logger,
-    onFileSet: set => owner.applyFileSet(set),
-    onInstances: instances => member.applyInstances(instances),
+    clock,
+    isReader: () => member.isReader(),
+    onFileSet: set => {
+      owner.applyFileSet(set);
+      member.applyFileSet(set);
+    },
+    onInstances: (instances, readAt) =>
+      member.applyInstances(instances, readAt),
   });
   const findFileSet = () => watcher.findFileSet()?.set;
   const member = createMember({
@@ -84,20 +93,26 @@
     clock,
     logger,
     clients,
-    getVersion: () => findFileSet()?.version,
+    random,
+    findFileSet,
     listLoads: () => owner.listLoads(),
     isLeaving: () => isLeaving,
     onBundle: (bundle, source) =>
       watcher.post({type: 'bundle', bundle, source}),
   });
+  const policy = createDispatchPolicy({
+    policy: settings.policy,
+    instanceId: id,
+    member,
+  });
   const owner = createOwner({
     settings,
     clock,
     logger,
     metrics,
     engines,
-    isOwner: serverId => member.findOwner(serverId) === id,
-    getShare: (serverId, limit) => member.getShare(serverId, limit),
+    isOwner: serverId => policy.findOwner(serverId) === id,
+    getShare: (serverId, limit) => policy.getShare(serverId, limit),
   });
   const issuer = createIssuer({
     identity,
@@ -110,9 +125,11 @@
     getCallerAddress: () => callerServer!.address,
     ticketKey: settings.ticketKey,
     clock,
+    logger,
     random,
     clients,
     member,
+    policy,
     owner,
     issuer,
     findFileSet,
@@ -140,6 +157,12 @@
   function addPeerRoutes(router: ConnectRouter): void {
     router.service(PeerService, {
       heartbeat: request => member.handleHeartbeat(request),
+      probe: request =>
+        create(ProbeResponseSchema, {
+          reachable: member.hasHeard(request.targetId),
+        }),
+      fetchInstances: () =>
+        create(FetchInstancesResponseSchema, member.describeInstances()),
       fetchFileSet: () => {
         const current = watcher.findFileSet();
         return create(FetchFileSetResponseSchema, {
@@ -160,6 +183,7 @@
         name: 'announce',
         run: async () => {
           isLeaving = true;
+          await member.spreadState();
         },
       },
       {
@@ -171,6 +195,7 @@
         run: async () => {
           await watcher.stop();
           member.stop();
+          owner.stop();
           await peerServer?.close();
           await engines.close();
           await issuer.stop();
@@ -186,6 +211,7 @@
       callerServer = await startCallerServer(entry, settings);
       watcher.start();
       member.start();
+      owner.start();
       const addresses = {
         callerAddress: callerServer.address,
         peerAddress: peerServer.address,
--- a/packages/router/src/tasks/watcher.ts
+++ b/packages/router/src/tasks/watcher.ts
@@ -3,7 +3,7 @@
 import type {FileSet, Settings} from '@buckthornbeam/config';
 import type {ListedInstance} from '@buckthornbeam/membership';
 import {createMailbox, toRouterError, waitFor} from '@buckthornbeam/shared';
-import type {Logger} from '@buckthornbeam/shared';
+import type {Clock, Logger} from '@buckthornbeam/shared';
 import {createPlatformClient} from '../platform_client.js';
 import type {PlatformReading} from '../platform_client.js';
 
@@ -12,7 +12,11 @@
   settings: Settings;
   logger: Logger;
   onFileSet: (set: FileSet) => void;
-  onInstances: (instances: ListedInstance[]) => void;
+  /** Takes a list that was read at a monotonic time in milliseconds. */
+  onInstances: (instances: ListedInstance[], readAt: number) => void;
+  clock: Clock;
+  /** Whether this instance has to read the platform itself. */
+  isReader: () => boolean;
 }
 
 /** The watcher task. */
@@ -28,26 +32,48 @@
 /** Messages to the watcher. */
 export type WatcherMessage =
   | {type: 'bundle'; bundle: string; source: string}
-  | {type: 'instances'; instances: ListedInstance[]};
+  | {type: 'instances'; instances: ListedInstance[]; readAt: number};
 
 /** Pause after a failed read, in milliseconds. */
 const RETRY_PAUSE_MS = 500;
 
+/** Reads of the instance list while one reading counts as fresh. */
+const LIST_READS_PER_LAG = 4;
+
 /** Creates the watcher. */
 export function createWatcher(options: WatcherOptions): Watcher {
-  const {settings, logger, onFileSet, onInstances} = options;
+  const {settings, clock, logger, onFileSet, onInstances} = options;
+  const {watchMs, listLagMs} = settings.timing;
   const client = createPlatformClient({
     address: settings.platform.address,
-    watchMs: settings.timing.watchMs,
+    watchMs,
+    // Each end of a watch confirms the list, well before it counts as old.
+    listWatchMs: Math.min(watchMs, listLagMs / LIST_READS_PER_LAG),
   });
   const abort = new AbortController();
   let inForce: {set: FileSet; bundle: string} | undefined;
 
+  /** Two sets of one revision: the one that is smaller loses everywhere. */
+  function recordRival(set: FileSet, source: string): void {
+    const current = inForce?.set.version;
+    const {revision, digest} = set.version;
+    if (current?.revision === revision && current.digest !== digest) {
+      const isTaken = isNewer(set.version, current);
+      logger.audit('file_set_rival', {
+        revision,
+        kept: isTaken ? digest : current.digest,
+        dropped: isTaken ? current.digest : digest,
+        source,
+      });
+    }
+  }
+
   function acceptBundle(bundle: string, source: string): void {
     if (bundle === inForce?.bundle) {
       return;
     }
     const set = decodeBundle(bundle);
+    recordRival(set, source);
     if (!isNewer(set.version, inForce?.set.version)) {
       return;
     }
@@ -65,20 +91,25 @@
         logger.warn('file_set_refused', {code, detail, source: message.source});
       }
     },
-    instances: message => onInstances(message.instances),
+    instances: message => onInstances(message.instances, message.readAt),
   });
 
   async function watchReading<T>(
     name: string,
     read: (index?: string) => Promise<PlatformReading<T>>,
-    handle: (value: T) => void,
+    handle: (value: T, readAt: number) => void,
   ): Promise<void> {
     let index: string | undefined;
     while (!abort.signal.aborted) {
+      if (!options.isReader()) {
+        await waitFor(RETRY_PAUSE_MS, abort.signal);
+        continue;
+      }
+      const askedAt = clock.now();
       try {
         const reading = await read(index);
         index = reading.index;
-        handle(reading.value);
+        handle(reading.value, askedAt);
       } catch (error) {
         if (abort.signal.aborted) {
           return;
@@ -108,7 +139,8 @@
       void watchReading(
         'instances',
         index => client.fetchInstances(instanceService, index, abort.signal),
-        instances => mailbox.post({type: 'instances', instances}),
+        (instances, readAt) =>
+          mailbox.post({type: 'instances', instances, readAt}),
       );
     },
     stop: async () => {
