--- a/packages/router/src/http/service_route.ts
+++ b/packages/router/src/http/service_route.ts
@@ -59,7 +59,7 @@
   const ticket = request.headers.get(TICKET_HEADER);
   if (ticket === null) {
     const key = request.headers.get(KEY_HEADER) ?? randomUUID();
-    const issued = entry.issueTicket(customerId, serviceName, key);
+    const issued = entry.issueTicket(customerId, call, key);
     return createProblemResponse(
       new RouterError('ticket_required', 'nothing has run'),
       {[TICKET_HEADER]: issued},
