--- a/packages/membership/src/ownership.ts
+++ b/packages/membership/src/ownership.ts
@@ -2,11 +2,11 @@
 import {hashToUint32} from '@buckthornbeam/shared';
 
 /**
- * Identity of a member in ownership. It covers the address, so that an
- * instance that moved to another address is another member.
+ * Identity of a member in ownership. The address is left out: instances may
+ * reach one peer by different addresses.
  */
-export function hashMember(id: string, peerAddress: string): number {
-  return hashToUint32(`${id}@${peerAddress}`);
+export function hashMember(id: string): number {
+  return hashToUint32(id);
 }
 
 /** Finds the member that a server falls to; undefined without members. */
--- a/packages/membership/src/peer_table.ts
+++ b/packages/membership/src/peer_table.ts
@@ -91,7 +91,7 @@
   }
 
   function applyListed(listed: ListedInstance, now: number): void {
-    const hash = hashMember(listed.id, listed.peerAddress);
+    const hash = hashMember(listed.id);
     const known = peers.get(listed.id);
     const peer =
       known?.hash === hash
--- a/packages/membership/src/view.ts
+++ b/packages/membership/src/view.ts
@@ -50,7 +50,7 @@
   topology: Topology,
 ): string {
   const lines = [
-    ...list.map(item => `i ${item.id} ${item.peerAddress} ${item.dataCentre}`),
+    ...list.map(item => `i ${item.id} ${item.dataCentre}`),
     ...[...topology.scopes].map(pair => `d ${pair.join(' ')}`),
     ...[...topology.servers].map(pair => `s ${pair.join(' ')}`),
   ];
@@ -82,8 +82,8 @@
   const members = new Map<string, CellMember>();
   const byScope = new Map<string, CellMember[]>();
   const scopeOfInstance = new Map<string, string>();
-  for (const {id, peerAddress, dataCentre} of list) {
-    const member = {id, hash: hashMember(id, peerAddress)};
+  for (const {id, dataCentre} of list) {
+    const member = {id, hash: hashMember(id)};
     const scope = topology.scopes.get(dataCentre) ?? dataCentre;
     members.set(id, member);
     scopeOfInstance.set(id, scope);
--- a/packages/router/src/tasks/member.ts
+++ b/packages/router/src/tasks/member.ts
@@ -78,13 +78,7 @@
 
 function hashList(instances: readonly ListedInstance[]): number {
   const lines = instances.map(item =>
-    [
-      item.id,
-      item.dataCentre,
-      item.callerAddress,
-      item.peerAddress,
-      item.leaving,
-    ].join(' '),
+    [item.id, item.dataCentre, item.leaving].join(' '),
   );
   return hashToUint32(lines.sort().join('\n'));
 }
