--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -48,6 +48,8 @@
   leaseMs: number;
   /** Longest wait of one watch at the configuration service. */
   watchMs: number;
+  /** Longest lag of the published instance list. */
+  listLagMs: number;
 }
 
 /** What is logged of the traffic. */
@@ -106,6 +108,7 @@
   heartbeatMs: 500,
   leaseMs: 2000,
   watchMs: 30 * SECOND_MS,
+  listLagMs: 5 * SECOND_MS,
 };
 
 /** Creates settings from their file form by filling in the defaults. */
--- a/packages/router/src/platform_client.ts
+++ b/packages/router/src/platform_client.ts
@@ -18,6 +18,8 @@
   address: string;
   /** Longest wait of a watch, in milliseconds. */
   watchMs: number;
+  /** Longest wait of a watch on the instance list, in milliseconds. */
+  listWatchMs: number;
 }
 
 /** Reads and watches the platform. */
@@ -64,16 +66,17 @@
 export function createPlatformClient(
   options: PlatformClientOptions,
 ): PlatformClient {
-  const {address, watchMs} = options;
+  const {address, watchMs, listWatchMs} = options;
   const agent = new Agent({connections: 4});
 
   async function fetchJson(
     path: string,
     index: string | undefined,
     signal: AbortSignal | undefined,
+    waitMs: number,
   ): Promise<{json: unknown; index: string}> {
-    const query = index ? `?index=${index}&wait=${watchMs}ms` : '';
-    const timeoutMs = (index ? watchMs : 0) + ANSWER_GRACE_MS;
+    const query = index ? `?index=${index}&wait=${waitMs}ms` : '';
+    const timeoutMs = (index ? waitMs : 0) + ANSWER_GRACE_MS;
     const response = await request(`http://${address}${path}${query}`, {
       dispatcher: agent,
       headersTimeout: timeoutMs,
@@ -99,7 +102,7 @@
 
   return {
     fetchValue: async (key, index, signal) => {
-      const reading = await fetchJson(`/v1/kv/${key}`, index, signal);
+      const reading = await fetchJson(`/v1/kv/${key}`, index, signal, watchMs);
       const [entry] = reading.json as Array<{Value: string}>;
       return {
         value: entry && Buffer.from(entry.Value, 'base64').toString('utf8'),
@@ -108,7 +111,7 @@
     },
     fetchInstances: async (service, index, signal) => {
       const path = `/v1/health/service/${service}`;
-      const reading = await fetchJson(path, index, signal);
+      const reading = await fetchJson(path, index, signal, listWatchMs);
       const entries = reading.json as HealthEntry[];
       return {value: entries.map(toListedInstance), index: reading.index};
     },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,7 +5,9 @@
 import {
   DispatchService,
   FetchFileSetResponseSchema,
+  FetchInstancesResponseSchema,
   PeerService,
+  ProbeResponseSchema,
   TicketService,
 } from '@buckthornbeam/protocol';
 import {
@@ -75,11 +77,15 @@
   const watcher = createWatcher({
     settings,
     logger,
+    clock,
+    isReader: () => member.isReader(),
     onFileSet: set => {
       auditTrail.applyFileSet(set);
       owner.applyFileSet(set);
+      member.applyFileSet(set);
     },
-    onInstances: instances => member.applyInstances(instances),
+    onInstances: (instances, readAt) =>
+      member.applyInstances(instances, readAt),
   });
   const findFileSet = () => watcher.findFileSet()?.set;
   const member = createMember({
@@ -88,7 +94,8 @@
     clock,
     logger,
     clients,
-    getVersion: () => findFileSet()?.version,
+    random,
+    findFileSet,
     listLoads: () => owner.listLoads(),
     isLeaving: () => isLeaving,
     onBundle: (bundle, source) =>
@@ -158,6 +165,12 @@
   function addPeerRoutes(router: ConnectRouter): void {
     router.service(PeerService, {
       heartbeat: request => member.handleHeartbeat(request),
+      probe: request =>
+        create(ProbeResponseSchema, {
+          reachable: member.hasHeard(request.targetId),
+        }),
+      fetchInstances: () =>
+        create(FetchInstancesResponseSchema, member.describeInstances()),
       fetchFileSet: () => {
         const current = watcher.findFileSet();
         return create(FetchFileSetResponseSchema, {
@@ -182,6 +195,7 @@
         name: 'announce',
         run: async () => {
           isLeaving = true;
+          await member.spreadState();
         },
       },
       {
--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -146,7 +146,7 @@
           callerAddress: options.getCallerAddress(),
           member,
           isServing:
-            !options.isLeaving() && options.findFileSet() !== undefined,
+            !options.isLeaving() && member.isReady() && !member.isIsolated(),
         },
         callerDataCentre,
       ),
