--- a/packages/decisions/__tests__/overload.spec.ts
+++ b/packages/decisions/__tests__/overload.spec.ts
@@ -243,6 +243,12 @@
     assert.ok(shares[2]! >= 0.05, `overnight ${shares[2]}`);
   });
 
+  it('keeps the highest tier in time when it asks for half of the server', () => {
+    const {attainment, shares} = computeTotals([0.5, 1, 0.3]);
+    assert.ok(attainment[0]! >= 0.99, `on-site ${attainment[0]}`);
+    assert.ok(shares[2]! >= 0.05, `overnight ${shares[2]}`);
+  });
+
   it('keeps all classes in time at 70 % of the capacity', () => {
     const {attainment} = computeTotals([0.21, 0.28, 0.21]);
     attainment.forEach(part => assert.ok(part >= 0.99, String(part)));
--- a/packages/stand_ins/src/faults/invariants.ts
+++ b/packages/stand_ins/src/faults/invariants.ts
@@ -3,7 +3,7 @@
  * services; the router's own word is not asked.
  */
 import type {FileSet} from '@buckthornbeam/config';
-import type {CallRecord, EngineRecord, Ledger} from './ledger.js';
+import type {AnswerRecord, CallRecord, EngineRecord, Ledger} from './ledger.js';
 import {COLD_REQUESTS} from './site.js';
 
 /** The invariants by the names that the command line takes. */
@@ -120,23 +120,39 @@
   return {evidence: chats.length, violations, reason: 'no chat was sent'};
 }
 
-/** Classes that got none of a long run of answers, by their minimum share. */
+/** Whether a request waited for its first token at a time. */
+function isWaitingAt(answer: AnswerRecord, at: number): boolean {
+  const {startedAt, firstTokenAt = Infinity} = answer;
+  return startedAt < at && answer.at > at && firstTokenAt > at;
+}
+
+/** Most answers of others that ended while a class waited and got none. */
+function countPassedOver(
+  answers: readonly AnswerRecord[],
+  className: string,
+): number {
+  const own = answers.filter(answer => answer.className === className);
+  let longest = 0;
+  let length = 0;
+  for (const answer of answers) {
+    if (answer.className === className) {
+      length = 0;
+    } else if (own.some(item => isWaitingAt(item, answer.at))) {
+      length += 1;
+    }
+    longest = Math.max(longest, length);
+  }
+  return longest;
+}
+
+/** Classes that waited through a long run of answers, by their minimum share. */
 function listStarvedClasses(ledger: Ledger, fileSet: FileSet): string[] {
   const endsAt = findMark(ledger, Mark.LOAD_ENDED)?.at ?? Infinity;
-  const answers = ledger
-    .list('answer')
-    .filter(answer => answer.isWhole && answer.at < endsAt);
-  const sent = new Set(answers.map(answer => answer.className));
+  const answers = ledger.list('answer').filter(answer => answer.at < endsAt);
   return [...fileSet.classes.values()].flatMap(({name, minimumShare}) => {
-    const bound = STARVATION_FACTOR / minimumShare;
-    let longest = 0;
-    let length = 0;
-    for (const {className} of answers) {
-      length = className === name ? 0 : length + 1;
-      longest = Math.max(longest, length);
-    }
-    return sent.has(name) && longest > bound
-      ? [`${name} got none of ${longest} answers`]
+    const passedOver = countPassedOver(answers, name);
+    return passedOver > STARVATION_FACTOR / minimumShare
+      ? [`${name} waited through ${passedOver} answers`]
       : [];
   });
 }
