--- a/packages/router/src/tasks/entry.ts
+++ b/packages/router/src/tasks/entry.ts
@@ -96,6 +96,16 @@
       getFileSet().models.get(model)?.deterministic ?? false,
   });
 
+  /** An isolated instance starts no new work: its view may be out of date. */
+  function assertNotIsolated(): void {
+    if (member.isIsolated()) {
+      throw new RouterError(
+        'isolated',
+        'neither the platform nor a majority of the peers confirms the view',
+      );
+    }
+  }
+
   /** Relays an answer and settles the customer's account by its length. */
   async function* relayAdmitted(
     admitted: AdmittedRequest,
@@ -117,6 +127,7 @@
   return {
     getCustomerId: apiKeyDigest => admission.getCustomerId(apiKeyDigest),
     async *answer(customerId, request, signal) {
+      assertNotIsolated();
       const admitted = admission.accept(customerId, request);
       options.logger.debug('request_admitted', {request: request.requestId});
       yield* relayAdmitted(admitted, signal);
@@ -134,9 +145,14 @@
       }
       return route;
     },
-    callService: call => options.services.callIdempotent(call),
-    issueTicket: (customerId, call, key) =>
-      options.tickets.issue(customerId, call, key),
+    callService: async call => {
+      assertNotIsolated();
+      return options.services.callIdempotent(call);
+    },
+    issueTicket: (customerId, call, key) => {
+      assertNotIsolated();
+      return options.tickets.issue(customerId, call, key);
+    },
     executeTicket: (customerId, ticketText, call) =>
       options.tickets.execute(customerId, ticketText, call),
     listEntries: callerDataCentre =>
