--- a/packages/stand_ins/src/capacity/fleet.ts
+++ b/packages/stand_ins/src/capacity/fleet.ts
@@ -30,6 +30,8 @@
   serversPerEntry: number;
   /** Entries in one data centre. */
   entriesPerDataCentre: number;
+  /** Period of heartbeats, in milliseconds; a lease is four of them. */
+  heartbeatMs: number;
 }
 
 /** A running fleet. */
@@ -42,6 +44,8 @@
 
 const READY_POLL_MS = 250;
 const READY_TIMEOUT_MS = 60_000;
+/** Heartbeats within one lease. */
+const HEARTBEATS_PER_LEASE = 4;
 /** Processes that are started side by side. */
 const START_BATCH = 8;
 
@@ -85,6 +89,10 @@
           peers: {host: '127.0.0.1', port: 0},
           platform: {address: platformAddress},
           ticketKey: TICKET_KEY,
+          timing: {
+            heartbeatMs: options.heartbeatMs,
+            leaseMs: options.heartbeatMs * HEARTBEATS_PER_LEASE,
+          },
         },
         directory,
       );
--- a/packages/stand_ins/src/capacity/main.ts
+++ b/packages/stand_ins/src/capacity/main.ts
@@ -27,7 +27,6 @@
 }
 
 const SERVERS_PER_ENTRY = 5;
-const CUSTOMERS = 12_000;
 const ENTRIES_PER_DATA_CENTRE = 47;
 const SETTLE_MS = 3000;
 
@@ -72,6 +71,8 @@
       json: {type: 'boolean', default: false},
       sizes: {type: 'string', default: '4,8,16,32'},
       seconds: {type: 'string', default: '10'},
+      heartbeat: {type: 'string', default: '500'},
+      customers: {type: 'string', default: '12000'},
     },
   });
   const costs: FleetCost[] = [];
@@ -79,7 +80,8 @@
     costs.push(
       await measureFleet({
         entries: size,
-        customers: CUSTOMERS,
+        customers: Number(values.customers),
+        heartbeatMs: Number(values.heartbeat),
         serversPerEntry: SERVERS_PER_ENTRY,
         entriesPerDataCentre: ENTRIES_PER_DATA_CENTRE,
         settleMs: SETTLE_MS,
