fix(gateway): tell a reset from the end of an unframed body

Ruled out: the order of node's error and end events, since no error is raised at all. An empty line is written at the end; the write fails on a connection that was reset. exchange.spec fails before.

--- /dev/null
+++ b/packages/gateway/__tests__/exchange.spec.ts
@@ -0,0 +1,151 @@
+/** Framing of backend servers' answers over real sockets. */
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import {startExchange} from '../src/relay/exchange.js';
+import {createServerConnections} from '../src/relay/server_connections.js';
+
+type Script = (socket: Socket, request: number) => void;
+
+interface Result {
+  body: string;
+  end: string;
+}
+
+const PAUSE_MS = 20;
+
+async function runExchanges(
+  script: Script,
+  count = 1,
+  pauseMs = 0,
+): Promise<{results: Result[]; opened: number}> {
+  let requests = 0;
+  let opened = 0;
+  const server = createServer(socket => {
+    opened += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      script(socket, requests);
+    });
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  const connections = createServerConnections();
+  const results: Result[] = [];
+  for (let index = 0; index < count; index++) {
+    results.push(await runExchange(port, connections.agent));
+    await new Promise(resolve => setTimeout(resolve, pauseMs));
+  }
+  connections.close();
+  server.close();
+  return {results, opened};
+}
+
+function runExchange(
+  port: number,
+  agent: ReturnType<typeof createServerConnections>['agent'],
+): Promise<Result> {
+  return new Promise(resolve => {
+    let body = '';
+    startExchange(
+      {
+        agent,
+        address: `127.0.0.1:${port}`,
+        method: 'GET',
+        url: '/',
+        headers: ['Host', 'test'],
+        body: Buffer.alloc(0),
+      },
+      {
+        onAnswer: () => undefined,
+        onData: bytes => {
+          body += bytes.toString();
+        },
+        onEnd: () => resolve({body, end: 'end'}),
+        onFailure: (error, isSent) =>
+          resolve({body, end: isSent ? 'failed after send' : 'not sent'}),
+      },
+    );
+  });
+}
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nabc';
+const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc';
+
+describe('exchange', () => {
+  describe('a body that ends with its connection', () => {
+    it('is whole after a regular end', async () => {
+      const {results} = await runExchanges(socket => socket.end(UNFRAMED));
+      assert.equal(results, [{body: 'abc', end: 'end'}]);
+    });
+
+    it('is not whole after a reset right behind the data', async () => {
+      const {results} = await runExchanges(socket => {
+        socket.write(UNFRAMED, () => socket.resetAndDestroy());
+      });
+      assert.is(results[0]!.end, 'failed after send');
+    });
+
+    it('is not whole after a late reset', async () => {
+      const {results} = await runExchanges(socket => {
+        socket.write(UNFRAMED);
+        setTimeout(() => socket.resetAndDestroy(), PAUSE_MS);
+      });
+      assert.is(results[0]!.end, 'failed after send');
+    });
+  });
+
+  describe('a body with a length', () => {
+    it('is not whole when it ends early', async () => {
+      const {results} = await runExchanges(socket =>
+        socket.end(FRAMED.slice(0, -1)),
+      );
+      assert.is(results[0]!.end, 'failed after send');
+    });
+
+    it('leaves the connection for the next request', async () => {
+      const {results, opened} = await runExchanges(
+        socket => socket.write(FRAMED),
+        3,
+        PAUSE_MS,
+      );
+      assert.equal(
+        results.map(result => result.end),
+        ['end', 'end', 'end'],
+      );
+      assert.is(opened, 1);
+    });
+
+    it('ends the connection when bytes follow it', async () => {
+      const {results, opened} = await runExchanges(
+        socket => {
+          socket.write(FRAMED);
+          setTimeout(() => socket.write(FRAMED), PAUSE_MS / 4);
+        },
+        2,
+        PAUSE_MS,
+      );
+      assert.equal(results[1], {body: 'abc', end: 'end'});
+      assert.is(opened, 2);
+    });
+  });
+
+  describe('a connection that is refused', () => {
+    it('counts as not sent', async () => {
+      const probe = createServer();
+      await new Promise<void>(resolve =>
+        probe.listen(0, '127.0.0.1', () => resolve()),
+      );
+      const {port} = probe.address() as AddressInfo;
+      await new Promise(resolve => probe.close(resolve));
+      const connections = createServerConnections();
+      const result = await runExchange(port, connections.agent);
+      connections.close();
+      assert.is(result.end, 'not sent');
+    });
+  });
+});
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -1,6 +1,7 @@
 /** One request to one backend server, and what is known of how far it got. */
 import {request as startRequest} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import {isCloseDelimited, isReset} from './server_connections.js';
 
 /** Options of {@link startExchange}. */
 export interface ExchangeOptions {
@@ -72,6 +73,14 @@
     outgoing.destroy();
   }
 
+  function endDelimitedBody({socket}: IncomingMessage): void {
+    if (isReset(socket)) {
+      fail(new TruncatedBody('the connection was reset within the body'));
+    } else {
+      finish(() => handlers.onEnd());
+    }
+  }
+
   function readAnswer(incoming: IncomingMessage): void {
     answer = incoming;
     incoming.on('data', (bytes: Buffer) => {
@@ -80,14 +89,17 @@
       }
     });
     incoming.on('end', () => {
-      if (incoming.complete) {
-        finish(() => handlers.onEnd());
-      } else {
+      if (!incoming.complete) {
         fail(new TruncatedBody('the body ended before its framing said so'));
+      } else if (isCloseDelimited(incoming)) {
+        // Only the end of the connection shows whether it was reset.
+        outgoing.on('close', () => endDelimitedBody(incoming));
+      } else {
+        finish(() => handlers.onEnd());
       }
     });
     incoming.on('error', fail);
-    incoming.on('close', () => {
+    incoming.on('aborted', () => {
       fail(new TruncatedBody('the connection closed within the body'));
     });
     if (!isOver) {
--- a/packages/gateway/src/relay/server_connections.ts
+++ b/packages/gateway/src/relay/server_connections.ts
@@ -1,6 +1,6 @@
 /** Connections to backend servers: kept for reuse, but never beyond doubt. */
 import {Agent} from 'node:http';
-import type {ClientRequest} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import type {NetConnectOpts, Socket} from 'node:net';
 
@@ -38,7 +38,7 @@
 
 /** What node:http's agent keeps on its sockets. */
 interface PooledSocket extends Socket {
-  _httpMessage?: ClientRequest & {res?: {headers: Record<string, unknown>}};
+  _httpMessage?: (ClientRequest & {res?: IncomingMessage}) | null;
 }
 
 const KEEP_ALIVE_HINT = /timeout=(\d+)/;
@@ -54,6 +54,44 @@
   this.destroy();
 }
 
+/** Sent after the end of a body without a length; servers skip empty lines. */
+const EMPTY_LINE = '\r\n';
+
+/** Whether the body of an answer ends with its connection. */
+export function isCloseDelimited(answer: IncomingMessage): boolean {
+  const {headers} = answer;
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
+/**
+ * A reset right after data is reported like a regular end. A write tells them
+ * apart: it fails on a connection that was reset.
+ */
+function checkReset(this: PooledSocket): void {
+  const request = this._httpMessage;
+  if (!request) {
+    this.destroy();
+    return;
+  }
+  if (request.res && isCloseDelimited(request.res) && this.writable) {
+    this.write(EMPTY_LINE, error => {
+      if (error) {
+        resetSockets.add(this);
+      }
+    });
+  }
+}
+
+const resetSockets = new WeakSet<Socket>();
+
+/** Whether a connection that seemed to end regularly was reset. */
+export function isReset(socket: Socket | null): boolean {
+  return socket !== null && resetSockets.has(socket);
+}
+
 /** The hooks of node:http's agent around idle connections. */
 interface AgentHooks {
   keepSocketAlive(socket: Socket): boolean;
@@ -69,7 +107,12 @@
 
   override createConnection(options: NetConnectOpts): Socket {
     const {connectMs, onOpen} = this.limits;
-    const socket = connect({...options, noDelay: true} as NetConnectOpts);
+    const socket = connect({
+      ...options,
+      noDelay: true,
+      allowHalfOpen: true,
+    } as NetConnectOpts);
+    socket.on('end', checkReset);
     const timer = setTimeout(() => {
       socket.destroy(new ConnectTimeout(`no connection within ${connectMs} ms`));
     }, connectMs);
