feat(gateway): readers of the store by turns, load reports that scale with the fleet

Now the store is read by 8 instances chosen by rendezvous hashing; the others fetch from peers what differs by digest, and read themselves when nobody confirms their knowledge.

--- a/packages/decisions/src/server_outcomes.ts
+++ b/packages/decisions/src/server_outcomes.ts
@@ -47,7 +47,7 @@
 export function createServerOutcomes(): ServerOutcomes {
   const records = new Map<string, Record>();
 
-  function decay(record: Record, now: number): void {
+  function updateCounts(record: Record, now: number): void {
     const factor = 0.5 ** (Math.max(0, now - record.updatedAt) / HALF_LIFE_MS);
     record.failures *= factor;
     record.total *= factor;
@@ -78,7 +78,7 @@
   return {
     record: (serverId, outcome, now) => {
       const record = getRecord(serverId, now);
-      decay(record, now);
+      updateCounts(record, now);
       record.total += 1;
       if (outcome === ServerOutcome.ANSWERED) {
         record.unreachableCount = 0;
@@ -95,7 +95,7 @@
       if (!record) {
         return 0;
       }
-      decay(record, now);
+      updateCounts(record, now);
       return record.failures / (record.total + PRIOR_ANSWERS);
     },
     isUnreachable: (serverId, now) =>
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,10 @@
 /** A gateway: one instance of the direct data path, with all its tasks. */
-import {createLogger, createSystemClock, waitFor} from '@buckthornbeam/shared';
+import {
+  createLogger,
+  createSystemClock,
+  pickSample,
+  waitFor,
+} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import {checkAccess} from './front/access.js';
 import type {GrantedAccess} from './front/access.js';
@@ -12,8 +17,8 @@
 import type {RequestFacts} from './model.js';
 import {createGossipTask} from './peers/gossip_task.js';
 import {
-  KNOWLEDGE_PATH,
   createKnowledgeExchange,
+  parseKnowledgePath,
 } from './peers/knowledge_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
 import {createServerConnections} from './relay/server_connections.js';
@@ -23,6 +28,7 @@
 import {createServerActivity} from './state/server_activity.js';
 import {createServerLoads} from './state/server_loads.js';
 import {createServerSelection} from './state/server_selection.js';
+import {isStoreReader} from './state/store_readers.js';
 import {createStoreWatcher} from './state/store_watcher.js';
 import {createSuspensionDetector} from './state/suspension.js';
 
@@ -58,8 +64,12 @@
 /** How long a request waits after a suspension until the keys are confirmed, in milliseconds. */
 const CONFIRM_WAIT_MS = 400;
 const CONFIRM_LOOK_MS = 10;
+/** A follower reads the store itself once nobody has confirmed its knowledge for so long, in milliseconds. */
+const FOLLOWER_AGE_MS = 1500;
 /** Callers ask again after this time, so that they soon learn of changes, in seconds. */
 const ADDRESS_TTL_S = 2;
+/** Callers use no more addresses than this. */
+const MAXIMUM_ADDRESSES = 64;
 /** After a stop begins, callers keep coming until their addresses expire, in milliseconds. */
 const ACCEPT_AFTER_STOP_MS = 3000;
 /** Idle connections are closed once callers may know better addresses, in milliseconds. */
@@ -101,9 +111,26 @@
     clock,
     logger,
     watchMs: settings.store.watchMs,
-    pauseMs: settings.store.pauseMs,
+    computePauseMs: () =>
+      isReader() ? settings.store.pauseMs : settings.store.followerPauseMs,
+    mustHurry: () => knowledge.computeAge(clock.now()) > FOLLOWER_AGE_MS,
   });
 
+  /** In a large fleet some instances read the store and the others follow them. */
+  function isReader(): boolean {
+    return isStoreReader({
+      selfId: settings.instanceId,
+      instanceIds: [
+        settings.instanceId,
+        ...gossip.table
+          .listAlive(clock.now())
+          .filter(({record}) => !record.isLeaving)
+          .map(({record}) => record.instanceId),
+      ],
+      readers: settings.store.readers,
+    });
+  }
+
   function isReady(): boolean {
     const ageLimit =
       maximumKeyAgeMs === undefined
@@ -120,7 +147,8 @@
     knowledge,
     clock,
     logger,
-    isStoreConnected: () => watcher.isConnected(),
+    isReading: () => isReader() && watcher.isConnected(),
+    onBehind: () => watcher.refresh(),
   });
 
   const gossip = createGossipTask({
@@ -252,7 +280,7 @@
     if (isReady() || addresses.length === 0) {
       addresses.push(settings.listen.callers);
     }
-    return addresses;
+    return pickSample(addresses, MAXIMUM_ADDRESSES);
   }
 
   const answerReadiness: StatusHandler = url =>
@@ -272,10 +300,11 @@
       : undefined;
 
   const answerKnowledge: StatusHandler = url => {
-    if (url !== KNOWLEDGE_PATH) {
+    const readerVersion = parseKnowledgePath(url);
+    if (readerVersion === undefined) {
       return undefined;
     }
-    const snapshot = knowledge.buildSnapshot(clock.now());
+    const snapshot = knowledge.buildSnapshot(readerVersion, clock.now());
     return snapshot
       ? {status: 200, body: JSON.stringify(snapshot)}
       : {status: 503};
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -10,6 +10,8 @@
   version: number;
   /** Store revision that the sender has seen. */
   revision: number;
+  /** Digest of the configuration, evacuations and servers. */
+  digest: number;
   /** Age of the last confirmation of that configuration, in milliseconds. */
   confirmedAgeMs: number;
   /** Work by server, see {@link WorkReport}. */
@@ -32,6 +34,7 @@
   sender: recordSchema,
   version: z.number(),
   revision: z.number(),
+  digest: z.number(),
   confirmedAgeMs: z.number().min(0),
   work: z.record(
     z.string(),
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -55,18 +55,15 @@
   let round = 0;
   let timer: NodeJS.Timeout | undefined;
 
-  function nextInt(bound: number): number {
-    return Math.floor(random() * bound);
-  }
-
   function buildMessage(now: number): GossipMessage {
     return {
       sender: {...options.describeSelf(), round},
       version: knowledge.getConfiguration()?.version ?? 0,
       revision: knowledge.getRevision(),
+      digest: knowledge.computeDigest(),
       confirmedAgeMs: Math.max(0, knowledge.computeAge(now)),
       work: loads.buildReport(now),
-      relayed: table.pickRelayed(now, nextInt),
+      relayed: table.pickRelayed(now, random),
     };
   }
 
@@ -74,7 +71,7 @@
     const now = clock.now();
     round += 1;
     const bytes = encodeGossip(buildMessage(now));
-    for (const address of table.pickTargets(now, nextInt)) {
+    for (const address of table.pickTargets(now, random)) {
       const {host, port} = splitAddress(address);
       // A lost datagram is made up for by the next round.
       socket.send(bytes, port, host, () => undefined);
--- a/packages/gateway/src/peers/knowledge_exchange.ts
+++ b/packages/gateway/src/peers/knowledge_exchange.ts
@@ -10,7 +10,20 @@
 import type {GossipMessage} from './gossip_message.js';
 
 /** Path under which an instance serves its knowledge. */
-export const KNOWLEDGE_PATH = '/v1/knowledge';
+const KNOWLEDGE_PATH = '/v1/knowledge';
+
+/** Builds the path for a reader that has a version of the configuration. */
+function buildKnowledgePath(version: number): string {
+  return `${KNOWLEDGE_PATH}?version=${version}`;
+}
+
+/** Parses such a path; undefined if it is another one. */
+export function parseKnowledgePath(url: string): number | undefined {
+  const [path, query = ''] = url.split('?');
+  return path === KNOWLEDGE_PATH
+    ? Number(new URLSearchParams(query).get('version') ?? 0)
+    : undefined;
+}
 
 const serverSchema = z.object({
   id: z.string(),
@@ -26,6 +39,7 @@
 const snapshotSchema = z.object({
   revision: z.number(),
   confirmedAgeMs: z.number(),
+  version: z.number(),
   configurationText: z.string(),
   evacuated: z.array(z.string()),
   servers: z.array(serverSchema),
@@ -36,8 +50,10 @@
   knowledge: Knowledge;
   clock: Clock;
   logger: Logger;
-  /** Whether this instance reads the store itself. */
-  isStoreConnected: () => boolean;
+  /** Whether this instance reads the store itself and succeeds. */
+  isReading: () => boolean;
+  /** A peer has seen a change that this instance lacks. */
+  onBehind: () => void;
 }
 
 /** Fetches knowledge from peers. */
@@ -93,9 +109,10 @@
     }
     const version = knowledge.getConfiguration()?.version ?? 0;
     const needsHelp =
-      !options.isStoreConnected() || knowledge.computeAge(now) > OWN_AGE_MS;
+      !options.isReading() || knowledge.computeAge(now) > OWN_AGE_MS;
     const isAhead =
-      message.version > version || message.revision > knowledge.getRevision();
+      message.revision > knowledge.getRevision() &&
+      message.digest !== knowledge.computeDigest();
     return (
       needsHelp &&
       isAhead &&
@@ -107,17 +124,15 @@
 
   async function fetchKnowledge(address: string): Promise<void> {
     const askedAt = clock.now();
-    const text = await fetchText(address, KNOWLEDGE_PATH);
+    const version = knowledge.getConfiguration()?.version ?? 0;
+    const text = await fetchText(address, buildKnowledgePath(version));
     const parsed = snapshotSchema.parse(JSON.parse(text));
     const now = clock.now();
     const snapshot: KnowledgeSnapshot = {
       ...parsed,
       // The answer was made at the earliest when it was asked for.
       confirmedAgeMs: parsed.confirmedAgeMs + (now - askedAt),
-      servers: parsed.servers.map(server => ({
-        ...server,
-        startedAt: server.startedAt,
-      })),
+      servers: parsed.servers.map(item => ({startedAt: undefined, ...item})),
     };
     knowledge.applySnapshot(snapshot, now);
     logger.info('knowledge_from_peer', {
@@ -142,6 +157,7 @@
             peer: address,
             reason: failure.message,
           });
+          options.onBehind();
         })
         .finally(() => {
           isFetching = false;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,7 +37,11 @@
     /** Longest wait of one watch. */
     watchMs: milliseconds.default(1000),
     /** Pause between an answer and the next watch. */
-    pauseMs: milliseconds.default(200),
+    pauseMs: milliseconds.default(250),
+    /** Instances that read the store; the others follow what these pass on. */
+    readers: z.number().int().positive().default(8),
+    /** Pause of an instance that follows the readers. */
+    followerPauseMs: milliseconds.default(10_000),
   }),
   keys: z
     .object({
--- a/packages/gateway/src/state/knowledge.ts
+++ b/packages/gateway/src/state/knowledge.ts
@@ -2,6 +2,7 @@
  * What an instance believes of the store: the configuration, the backend
  * servers and evacuated data centres, and how old that belief is.
  */
+import {hashToUint32} from '@buckthornbeam/shared';
 import type {Logger} from '@buckthornbeam/shared';
 import type {BackendServer, ServiceConfiguration} from '../model.js';
 import type {StoreChange, StoreReading} from '../ports.js';
@@ -11,6 +12,8 @@
   revision: number;
   /** Age of the last confirmation by the store, in milliseconds. */
   confirmedAgeMs: number;
+  version: number;
+  /** Empty for a reader that has this version. */
   configurationText: string;
   evacuated: readonly string[];
   servers: readonly BackendServer[];
@@ -45,13 +48,19 @@
   recordDisturbance(now: number): void;
   getConfiguration(): ServiceConfiguration | undefined;
   getRevision(): number;
+  /** Equal for the same configuration, evacuations and servers. */
+  computeDigest(): number;
   /** Age of the last confirmation of the configuration, in milliseconds. */
   computeAge(now: number): number;
   /** Servers of a service that new requests may go to. */
   listServers(serviceName: string, now: number): KnownServer[];
   findServer(serverId: string): KnownServer | undefined;
   listServerIds(): Set<string>;
-  buildSnapshot(now: number): KnowledgeSnapshot | undefined;
+  /** Builds a snapshot for a reader that has a version of the configuration. */
+  buildSnapshot(
+    readerVersion: number,
+    now: number,
+  ): KnowledgeSnapshot | undefined;
 }
 
 /** After a disturbance of the store, entries that lapsed come back within this time. */
@@ -65,11 +74,26 @@
   let configuration: ServiceConfiguration | undefined;
   let configurationText = '';
   let revision = 0;
+  /** Undefined while it is to be computed again. */
+  let digest: number | undefined;
   let confirmedAt = -Infinity;
   let disturbedAt = -Infinity;
   const servers = new Map<string, KnownServer>();
   const evacuated = new Set<string>();
 
+  function computeDigest(): number {
+    digest ??= hashToUint32(
+      JSON.stringify([
+        configuration?.version,
+        [...evacuated].sort(),
+        [...servers.values()]
+          .map(({server}) => [server.id, server.isDraining, server.startedAt])
+          .sort(),
+      ]),
+    );
+    return digest;
+  }
+
   function acceptConfiguration(next: ServiceConfiguration, text: string): void {
     if (configuration && next.version <= configuration.version) {
       return;
@@ -172,6 +196,7 @@
   };
 
   function applyChange(change: StoreChange, now: number): void {
+    digest = undefined;
     const handler = handlers[change.type] as (
       c: StoreChange,
       n: number,
@@ -205,16 +230,32 @@
     for (const [id, known] of servers) {
       if (known.lapsesAt !== undefined && known.lapsesAt <= now) {
         servers.delete(id);
+        digest = undefined;
         logger.info('server_removed', {server: id, reason: 'lapsed'});
       }
     }
   }
 
+  function decodeSnapshotConfiguration({
+    configurationText: text,
+  }: KnowledgeSnapshot): StoreChange[] {
+    return text === ''
+      ? []
+      : [
+          {
+            type: 'configuration',
+            configuration: options.decodeConfiguration(text),
+            text,
+          },
+        ];
+  }
+
   function applyReading(reading: StoreReading, now: number): void {
     for (const change of reading.changes) {
       applyChange(change, now);
     }
     if (reading.isWhole) {
+      digest = undefined;
       removeUnlisted(reading.changes, now);
     }
     revision = Math.max(revision, reading.revision);
@@ -227,13 +268,8 @@
       if (snapshot.revision < revision) {
         return;
       }
-      const decoded = options.decodeConfiguration(snapshot.configurationText);
       const changes: StoreChange[] = [
-        {
-          type: 'configuration',
-          configuration: decoded,
-          text: snapshot.configurationText,
-        },
+        ...decodeSnapshotConfiguration(snapshot),
         ...snapshot.evacuated.map(
           dataCentre =>
             ({type: 'evacuation', dataCentre, isEvacuated: true}) as const,
@@ -259,6 +295,7 @@
     },
     getConfiguration: () => configuration,
     getRevision: () => revision,
+    computeDigest,
     computeAge: now => now - confirmedAt,
     listServers: (serviceName, now) => {
       removeLapsed(now);
@@ -271,11 +308,13 @@
     },
     findServer: serverId => servers.get(serverId),
     listServerIds: () => new Set(servers.keys()),
-    buildSnapshot: now =>
+    buildSnapshot: (readerVersion, now) =>
       configuration && {
         revision,
         confirmedAgeMs: now - confirmedAt,
-        configurationText,
+        version: configuration.version,
+        configurationText:
+          readerVersion === configuration.version ? '' : configurationText,
         evacuated: [...evacuated],
         servers: [...servers.values()]
           .filter(known => known.lapsesAt === undefined)
--- a/packages/gateway/src/state/server_loads.ts
+++ b/packages/gateway/src/state/server_loads.ts
@@ -39,8 +39,11 @@
   receiveReport(instanceId: string, report: WorkReport, now: number): void;
 }
 
-/** Reports of peers older than this are of no use, in milliseconds. */
-const REPORT_LIFE_MS = 2500;
+/**
+ * Reports of peers older than this are of no use, in milliseconds. In a fleet
+ * of a hundred a report of each peer comes every four seconds.
+ */
+const REPORT_LIFE_MS = 6000;
 /** Time over which the reading of a server is averaged, in milliseconds. */
 const READING_WINDOW_MS = 2000;
 /** A reading rate below this is not worth a report, in tokens per millisecond. */
--- a/packages/gateway/src/state/store_watcher.ts
+++ b/packages/gateway/src/state/store_watcher.ts
@@ -13,7 +13,9 @@
   /** Longest wait of a watch, in milliseconds. */
   watchMs: number;
   /** Pause between an answer and the next watch, in milliseconds. */
-  pauseMs: number;
+  computePauseMs: () => number;
+  /** Whether the pause is to end because nobody confirms the knowledge. */
+  mustHurry: () => boolean;
 }
 
 /** The task. */
@@ -35,14 +37,18 @@
 /** A whole reading takes several calls, in milliseconds. */
 const WHOLE_READING_MS = 3000;
 
+/** Interval of the look whether a pause has to end, in milliseconds. */
+const PAUSE_LOOK_MS = 200;
+
 /** Creates a watcher that has not started. */
 export function createStoreWatcher(options: StoreWatcherOptions): StoreWatcher {
-  const {reader, knowledge, clock, logger, watchMs, pauseMs} = options;
+  const {reader, knowledge, clock, logger, watchMs} = options;
   const stopping = new AbortController();
   let call: AbortController | undefined;
   let mustReadAll = true;
   let isConnected = false;
   let failures = 0;
+  let isHurried = false;
 
   /** Runs one call with its own timeout. */
   async function callStore(
@@ -97,10 +103,25 @@
     failures += 1;
   }
 
+  /** Leaves the reading to others for a while. */
+  async function pauseReading(): Promise<void> {
+    const endsAt = clock.now() + options.computePauseMs();
+    isHurried = false;
+    while (
+      clock.now() < endsAt &&
+      !isHurried &&
+      !options.mustHurry() &&
+      !stopping.signal.aborted
+    ) {
+      const restMs = endsAt - clock.now();
+      await waitFor(Math.min(PAUSE_LOOK_MS, restMs), stopping.signal);
+    }
+  }
+
   async function runStep(): Promise<void> {
     try {
       acceptReading(await readNext());
-      await waitFor(pauseMs, stopping.signal);
+      await pauseReading();
     } catch (error) {
       recordFailure(error);
       const backoff = FIRST_RETRY_MS * 2 ** Math.min(failures - 1, 3);
@@ -121,7 +142,10 @@
       call?.abort();
       reader.close();
     },
-    refresh: () => call?.abort(),
+    refresh: () => {
+      isHurried = true;
+      call?.abort();
+    },
     isConnected: () => isConnected,
   };
 }
--- a/packages/membership/src/gossip_table.ts
+++ b/packages/membership/src/gossip_table.ts
@@ -3,6 +3,8 @@
  * messages and the time, and says to whom to send what.
  */
 
+import {pickSample} from '@buckthornbeam/shared';
+
 /** What an instance says of itself. */
 export interface GossipRecord {
   instanceId: string;
@@ -59,15 +61,17 @@
   /** Identities of all instances not yet forgotten, with this one, sorted. */
   listRecentIds(now: number): string[];
   /** Addresses for a round of gossip. */
-  pickTargets(now: number, nextInt: (bound: number) => number): string[];
+  pickTargets(now: number, nextFloat: () => number): string[];
   /** Records to pass on with a message. */
-  pickRelayed(now: number, nextInt: (bound: number) => number): RelayedRecord[];
+  pickRelayed(now: number, nextFloat: () => number): RelayedRecord[];
   /** Replaces the seeds after a change of the settings. */
   updateSeeds(addresses: readonly string[]): void;
 }
 
-/** Four rounds of gossip at 500 ms: one lost datagram does not matter. */
+/** Five rounds of gossip at 400 ms: one lost datagram does not matter. */
 const DEFAULT_ALIVE_MS = 2000;
+/** News of an instance comes more seldom with each further one, in milliseconds. */
+const ALIVE_MS_PER_MEMBER = 25;
 /** Longer than a restart of an instance takes. */
 const DEFAULT_FORGET_MS = 15_000;
 /** Peers for each round; news reaches 400 instances in three rounds. */
@@ -91,6 +95,10 @@
   const retired = new Set<string>();
   let rounds = 0;
 
+  function computeAliveMs(): number {
+    return aliveMs + ALIVE_MS_PER_MEMBER * members.size;
+  }
+
   function isNewer(record: GossipRecord, known: GossipMember): boolean {
     return (
       record.incarnation === known.record.incarnation &&
@@ -128,7 +136,7 @@
     const isReplacement =
       record.incarnation !== known.record.incarnation &&
       !retired.has(record.incarnation) &&
-      now - known.seenAt > aliveMs;
+      now - known.seenAt > computeAliveMs();
     if (isNewer(record, known) || isReplacement) {
       acceptRecord(record, Math.max(known.seenAt, now - ageMs));
     }
@@ -142,19 +150,6 @@
     }
   }
 
-  function pickSome<T>(
-    items: readonly T[],
-    count: number,
-    nextInt: (bound: number) => number,
-  ): T[] {
-    const rest = [...items];
-    const picked: T[] = [];
-    while (rest.length > 0 && picked.length < count) {
-      picked.push(...rest.splice(nextInt(rest.length), 1));
-    }
-    return picked;
-  }
-
   return {
     receive: (sender, relayed, now) => {
       if (sender.instanceId === selfId) {
@@ -165,19 +160,21 @@
         acceptRelayed(item, now);
       }
     },
-    listAlive: now =>
-      [...members.values()].filter(member => now - member.seenAt <= aliveMs),
+    listAlive: now => {
+      const limit = now - computeAliveMs();
+      return [...members.values()].filter(member => member.seenAt >= limit);
+    },
     listRecentIds: now => {
       removeSilent(now);
       return [selfId, ...members.keys()].sort();
     },
-    pickTargets: (now, nextInt) => {
+    pickTargets: (now, nextFloat) => {
       removeSilent(now);
       rounds += 1;
       const known = [...members.values()].map(
         member => member.record.gossipAddress,
       );
-      const targets = new Set(pickSome(known, FANOUT, nextInt));
+      const targets = new Set(pickSample(known, FANOUT, nextFloat));
       if (rounds % SEED_ROUNDS === 1) {
         const unknown = seeds.filter(address => !known.includes(address));
         unknown.forEach(address => targets.add(address));
@@ -185,11 +182,13 @@
       targets.delete(selfAddress);
       return [...targets];
     },
-    pickRelayed: (now, nextInt) =>
-      pickSome([...members.values()], RELAYED_RECORDS, nextInt).map(member => ({
-        record: member.record,
-        ageMs: Math.max(0, now - member.seenAt),
-      })),
+    pickRelayed: (now, nextFloat) =>
+      pickSample([...members.values()], RELAYED_RECORDS, nextFloat).map(
+        member => ({
+          record: member.record,
+          ageMs: Math.max(0, now - member.seenAt),
+        }),
+      ),
     updateSeeds: addresses => {
       seeds = [...addresses];
     },
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -16,7 +16,7 @@
 export {createMetrics} from './metrics.js';
 export type {MetricTags, Metrics, MetricsOptions} from './metrics.js';
 export {Outcome} from './outcomes.js';
-export {createRandom, pickOne} from './random.js';
+export {createRandom, pickOne, pickSample} from './random.js';
 export type {RandomSource} from './random.js';
 export {
   SECOND_MS,
--- a/packages/shared/src/random.ts
+++ b/packages/shared/src/random.ts
@@ -31,3 +31,17 @@
 export function pickOne<T>(items: readonly T[], random: RandomSource): T {
   return items[random.nextInt(items.length)]!;
 }
+
+/** Picks up to `count` items at random, each at most once. */
+export function pickSample<T>(
+  items: readonly T[],
+  count: number,
+  nextFloat: () => number = Math.random,
+): T[] {
+  const rest = [...items];
+  const picked: T[] = [];
+  while (rest.length > 0 && picked.length < count) {
+    picked.push(...rest.splice(Math.floor(nextFloat() * rest.length), 1));
+  }
+  return picked;
+}
