--- /dev/null
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -0,0 +1,243 @@
+/** Placement of generations under the load patterns that it answers. */
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import {estimateTokenMs, placeGeneration} from '../src/engine_placement.js';
+import type {EngineCandidate, EngineRequest} from '../src/engine_placement.js';
+import {createPrefixLocations} from '../src/prefix_locations.js';
+import {chooseShortPool} from '../src/short_pool.js';
+
+const TOKENS_PER_MS = 50;
+
+function createCandidate(
+  serverId: string,
+  changes: Partial<EngineCandidate> = {},
+): EngineCandidate {
+  return {
+    serverId,
+    slots: 64,
+    memoryTokens: 500_000,
+    inFlight: 0,
+    unreadTokens: 0,
+    inFlightTokens: 0,
+    readingPerMs: 0,
+    heldTokens: 0,
+    failureRate: 0,
+    ...changes,
+  };
+}
+
+function createRequest(changes: Partial<EngineRequest> = {}): EngineRequest {
+  return {
+    promptTokens: 17_000,
+    sharedTokens: 13_000,
+    sharedKey: 'history-1',
+    outputTokens: 120,
+    targetMs: 2000,
+    leftMs: 6000,
+    ...changes,
+  };
+}
+
+const IDS = ['a', 'b', 'c', 'd', 'e', 'f'];
+const NO_POOL = {tokensPerMs: TOKENS_PER_MS, shortPool: new Set<string>()};
+
+function findHome(request: EngineRequest): string {
+  const idle = IDS.map(id => createCandidate(id));
+  return placeGeneration(idle, request, NO_POOL)!.serverId;
+}
+
+describe('engine placement', () => {
+  describe('prompts with shared parts', () => {
+    it('gather on one server, whatever the order of the candidates', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const reversed = [...IDS].reverse().map(id => createCandidate(id));
+      assert.is(placeGeneration(reversed, request, NO_POOL)!.serverId, home);
+    });
+
+    it('spread over the servers by their shared parts', () => {
+      const homes = new Set(
+        Array.from({length: 60}, (_, index) =>
+          findHome(createRequest({sharedKey: `history-${index}`})),
+        ),
+      );
+      assert.is(homes.size, IDS.length);
+    });
+
+    it('stay where they are read while the wait there is short', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const candidates = IDS.map(id =>
+        createCandidate(id, {unreadTokens: id === home ? 20_000 : 0}),
+      );
+      assert.is(placeGeneration(candidates, request, NO_POOL)!.serverId, home);
+    });
+  });
+
+  describe('a hot key that one server cannot bear', () => {
+    it('moves to a server that holds the parts already', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const other = IDS.find(id => id !== home)!;
+      const candidates = IDS.map(id =>
+        createCandidate(id, {
+          unreadTokens: id === home ? 60_000 : 0,
+          heldTokens: id === other ? 13_000 : 0,
+        }),
+      );
+      assert.is(placeGeneration(candidates, request, NO_POOL)!.serverId, other);
+    });
+
+    it('is read elsewhere only once waiting costs several readings', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const place = (unreadTokens: number) =>
+        placeGeneration(
+          IDS.map(id =>
+            createCandidate(id, {unreadTokens: id === home ? unreadTokens : 0}),
+          ),
+          request,
+          NO_POOL,
+        )!.serverId;
+      assert.is(place(50_000), home);
+      assert.is.not(place(300_000), home);
+    });
+  });
+
+  describe('a burst of long prompts', () => {
+    it('slows the answers beside it down to a token for each chunk', () => {
+      const idle = estimateTokenMs(createCandidate('a'), TOKENS_PER_MS);
+      const busy = estimateTokenMs(
+        createCandidate('a', {readingPerMs: 60}),
+        TOKENS_PER_MS,
+      );
+      assert.ok(idle < 5, `${idle} ms`);
+      assert.ok(busy > 20, `${busy} ms`);
+    });
+
+    it('sends a long answer where it can still end in time', () => {
+      const request = createRequest({outputTokens: 400});
+      const home = findHome(request);
+      const candidates = IDS.map(id =>
+        createCandidate(id, {readingPerMs: id === home ? 60 : 5}),
+      );
+      const placed = placeGeneration(candidates, request, NO_POOL)!;
+      assert.is.not(placed.serverId, home);
+      assert.ok(placed.expectedEndMs < request.leftMs);
+    });
+
+    it('says when no server can end an answer in time', () => {
+      const candidates = IDS.map(id =>
+        createCandidate(id, {readingPerMs: 70, unreadTokens: 200_000}),
+      );
+      const request = createRequest({outputTokens: 300});
+      const placed = placeGeneration(candidates, request, NO_POOL)!;
+      assert.ok(placed.expectedEndMs > request.leftMs);
+    });
+  });
+
+  describe('long prompts beside short ones', () => {
+    const shortPool = chooseShortPool({serverIds: IDS, part: 0.2});
+    const options = {tokensPerMs: TOKENS_PER_MS, shortPool};
+
+    it('go to separate servers', () => {
+      const idle = IDS.map(id => createCandidate(id));
+      for (let index = 0; index < 30; index++) {
+        const sharedKey = `part-${index}`;
+        const long = createRequest({sharedKey});
+        const short = createRequest({
+          sharedKey,
+          promptTokens: 1500,
+          sharedTokens: 350,
+        });
+        const {serverId: longId} = placeGeneration(idle, long, options)!;
+        const {serverId: shortId} = placeGeneration(idle, short, options)!;
+        assert.not.ok(shortPool.has(longId));
+        assert.ok(shortPool.has(shortId));
+      }
+    });
+
+    it('share the servers when those of their kind are full', () => {
+      const candidates = IDS.map(id =>
+        createCandidate(id, {
+          unreadTokens: shortPool.has(id) ? 100_000 : 0,
+        }),
+      );
+      const short = createRequest({promptTokens: 1500, sharedTokens: 350});
+      const placed = placeGeneration(candidates, short, options)!;
+      assert.not.ok(shortPool.has(placed.serverId));
+    });
+  });
+
+  describe('servers that fail', () => {
+    it('get less while they fail', () => {
+      const request = createRequest({sharedKey: '', sharedTokens: 0});
+      const candidates = IDS.map(id =>
+        createCandidate(id, {failureRate: id === 'c' ? 0 : 0.5}),
+      );
+      assert.is(placeGeneration(candidates, request, NO_POOL)!.serverId, 'c');
+    });
+  });
+
+  describe('servers that are full', () => {
+    it('are passed over for one with memory', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const candidates = IDS.map(id =>
+        createCandidate(id, {inFlightTokens: id === home ? 490_000 : 0}),
+      );
+      assert.is.not(
+        placeGeneration(candidates, request, NO_POOL)!.serverId,
+        home,
+      );
+    });
+  });
+
+  it('has no placement without candidates', () => {
+    assert.is(placeGeneration([], createRequest(), NO_POOL), undefined);
+  });
+});
+
+describe('short pool', () => {
+  it('is the same for every order of the servers', () => {
+    const one = chooseShortPool({serverIds: IDS, part: 0.3});
+    const other = chooseShortPool({serverIds: [...IDS].reverse(), part: 0.3});
+    assert.equal([...one].sort(), [...other].sort());
+  });
+
+  it('changes by one server at most when a server leaves', () => {
+    const before = chooseShortPool({serverIds: IDS, part: 0.34});
+    for (const gone of IDS) {
+      const rest = IDS.filter(id => id !== gone);
+      const after = chooseShortPool({serverIds: rest, part: 0.34});
+      const added = [...after].filter(id => !before.has(id));
+      assert.ok(added.length <= 1);
+    }
+  });
+
+  it('leaves few servers undivided', () => {
+    assert.is(chooseShortPool({serverIds: ['a', 'b', 'c'], part: 0.2}).size, 0);
+  });
+});
+
+describe('prefix locations', () => {
+  const parts = [
+    {id: 'p1', tokens: 2000},
+    {id: 'p2', tokens: 4000},
+  ];
+
+  it('counts the longest prefix that was read', () => {
+    const locations = createPrefixLocations();
+    locations.record('a', parts, 0);
+    assert.is(locations.countHeldTokens('a', parts, 1), 6000);
+    const branch = [parts[0]!, {id: 'p3', tokens: 100}];
+    assert.is(locations.countHeldTokens('a', branch, 1), 2000);
+    assert.is(locations.countHeldTokens('b', parts, 1), 0);
+  });
+
+  it('forgets what was read long ago', () => {
+    const locations = createPrefixLocations();
+    locations.record('a', parts, 0);
+    assert.is(locations.countHeldTokens('a', parts, 61_000), 0);
+  });
+});
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -76,7 +76,7 @@
 /** Cost of each request beyond the slots, in milliseconds. */
 const QUEUED_COST_MS = 60;
 /** Cost of memory that other requests would have to yield, in milliseconds. */
-const FULL_MEMORY_COST_MS = 2000;
+const FULL_MEMORY_COST_MS = 8000;
 /** Tokens read in one step between two tokens of the answers under way. */
 const STEP_TOKENS = 2048;
 /** Time of a step without reading, in milliseconds, for an idle server. */
--- a/packages/decisions/src/repeat_budget.ts
+++ b/packages/decisions/src/repeat_budget.ts
@@ -52,7 +52,8 @@
       requests.push(now);
     },
     take: (now, instances) => {
-      if (repeats.length + 1 > computeAllowed(now, instances)) {
+      const allowed = computeAllowed(now, instances);
+      if (repeats.length + 1 > allowed) {
         return false;
       }
       repeats.push(now);
--- /dev/null
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -0,0 +1,193 @@
+/** Checked settings, log lines, small parts. */
+import {closeSync, mkdtempSync, openSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import type {RouterError} from '@buckthornbeam/shared';
+import {createManualClock} from '@buckthornbeam/shared';
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import {createLineWriter} from '../src/logs.js';
+import {createGatewayMetrics} from '../src/metrics.js';
+import {decodeGossip, encodeGossip} from '../src/peers/gossip_message.js';
+import {computeRetryAfter} from '../src/relay/retry_after.js';
+import {parseGatewaySettings} from '../src/settings.js';
+import {createServerLoads} from '../src/state/server_loads.js';
+import {createSuspensionDetector} from '../src/state/suspension.js';
+
+const SETTINGS = {
+  instanceId: 'i1',
+  dataCentre: 'north',
+  regions: {north: 'region'},
+  listen: {
+    callers: '127.0.0.1:1',
+    readiness: '127.0.0.1:2',
+    addresses: '127.0.0.1:3',
+    peers: '127.0.0.1:4',
+  },
+  store: {address: '127.0.0.1:5'},
+};
+
+function readMessage(run: () => unknown): string {
+  try {
+    run();
+  } catch (error) {
+    assert.is((error as RouterError).code, 'invalid_settings');
+    return (error as Error).message;
+  }
+  return '';
+}
+
+describe('gateway settings', () => {
+  it('have defaults for what is left out', () => {
+    const settings = parseGatewaySettings(JSON.stringify(SETTINGS));
+    assert.is(settings.keys.failClosed, true);
+    assert.is(settings.stop.graceMs, 8000);
+  });
+
+  it('ignore fields that are not known', () => {
+    const text = JSON.stringify({...SETTINGS, later: 1});
+    assert.is(parseGatewaySettings(text).instanceId, 'i1');
+  });
+
+  it('name every problem at once', () => {
+    const message = readMessage(() =>
+      parseGatewaySettings(
+        JSON.stringify({
+          ...SETTINGS,
+          instanceId: '',
+          listen: {...SETTINGS.listen, callers: 'nowhere:99999'},
+        }),
+      ),
+    );
+    assert.match(message, 'instanceId');
+    assert.match(message, 'listen.callers');
+  });
+
+  it('that are not JSON are refused', () => {
+    assert.match(
+      readMessage(() => parseGatewaySettings('{')),
+      'JSON',
+    );
+  });
+});
+
+describe('log lines', () => {
+  it('are written in order and dropped with a count beyond the bound', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lines-'));
+    const path = join(folder, 'log');
+    const descriptor = openSync(path, 'w');
+    const writer = createLineWriter({descriptor, maximumBuffered: 10});
+    ['one', 'two', 'three', 'four'].forEach(line => writer.write(line));
+    await writer.flush();
+    closeSync(descriptor);
+    const text = readFileSync(path, 'utf8');
+    rmSync(folder, {recursive: true});
+    assert.is(text, 'one\ntwo\nlevel=warn event=log_lines_dropped count=2\n');
+  });
+});
+
+describe('metrics', () => {
+  it('are rendered as text with labels', async () => {
+    const metrics = createGatewayMetrics({
+      countOpenRequests: () => 3,
+      computeKnowledgeAgeMs: () => 500,
+      getConfigurationVersion: () => 7,
+      countPeers: () => 5,
+    });
+    metrics.countRequest('route', 200, 'ok');
+    metrics.observeFirstByte('route', 120);
+    const text = await metrics.render();
+    assert.match(
+      text,
+      /requests_total\{route="route",status="200",code="ok"\} 1/,
+    );
+    assert.match(text, 'buckthornbeam_open_requests 3');
+    assert.match(text, 'buckthornbeam_knowledge_age_seconds 0.5');
+    assert.match(text, /first_byte_seconds_bucket\{le="0.2",route="route"\} 1/);
+  });
+});
+
+describe('retry after', () => {
+  it('stays within what callers honour and spreads them', () => {
+    const times = [0, 0.25, 0.5, 0.99].map(value =>
+      computeRetryAfter({leftMs: 3000, random: () => value}),
+    );
+    assert.ok(Math.max(...times) <= 1000);
+    assert.ok(Math.max(...times) - Math.min(...times) > 400);
+  });
+});
+
+describe('gossip messages', () => {
+  const sender = {
+    instanceId: 'i1',
+    incarnation: 'a',
+    round: 1,
+    gossipAddress: 'h:1',
+    callerAddress: 'h:2',
+    dataCentre: 'north',
+    isReady: true,
+    isLeaving: false,
+  };
+
+  it('come back as they were sent, an unknown age as a large one', () => {
+    const message = {
+      sender,
+      version: 3,
+      revision: 9,
+      digest: 1,
+      confirmedAgeMs: Infinity,
+      work: {s1: [1, 2, 3, 0.5] as [number, number, number, number]},
+      relayed: [{record: sender, ageMs: 5}],
+    };
+    const decoded = decodeGossip(encodeGossip(message))!;
+    assert.equal({...decoded, confirmedAgeMs: Infinity}, message);
+    assert.ok(decoded.confirmedAgeMs > 1e6);
+  });
+
+  it('are dropped when they cannot be read', () => {
+    assert.is(decodeGossip(Buffer.from('{"sender":1}')), undefined);
+    assert.is(decodeGossip(Buffer.from([0xff, 0x00])), undefined);
+  });
+});
+
+describe('server loads', () => {
+  it('sum own work and the reports of peers that are fresh', () => {
+    const loads = createServerLoads();
+    const ticket = loads.add('s1', 1000, 1500, 0);
+    loads.receiveReport('peer', {s1: [2, 3000, 4000, 1]}, 0);
+    const work = loads.getWork('s1', 0);
+    assert.is(work.inFlight, 3);
+    assert.is(work.unreadTokens, 4000);
+    ticket.markRead();
+    assert.is(loads.getWork('s1', 0).unreadTokens, 3000);
+    ticket.end();
+    ticket.end();
+    assert.is(loads.getWork('s1', 0).inFlight, 2);
+    assert.is(loads.getWork('s1', 60_000).inFlight, 0);
+  });
+
+  it('report the reading of a server until it has faded', () => {
+    const loads = createServerLoads();
+    loads.add('s1', 10_000, 10_000, 0).end();
+    assert.ok(loads.buildReport(100)['s1']![3] > 4);
+    assert.equal(loads.buildReport(60_000), {});
+  });
+});
+
+describe('suspension detector', () => {
+  it('notices that the clocks moved apart, once', () => {
+    const clock = createManualClock();
+    let wallOffset = 0;
+    const detector = createSuspensionDetector({
+      now: clock.now,
+      wallTime: () => clock.wallTime() + wallOffset,
+    });
+    clock.advance(5000);
+    assert.not.ok(detector.hasJumped());
+    wallOffset = 3000;
+    assert.ok(detector.hasJumped());
+    assert.not.ok(detector.hasJumped());
+    wallOffset = -2000;
+    assert.ok(detector.hasJumped());
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/store_watcher.spec.ts
@@ -0,0 +1,123 @@
+/** Following the store through its failures. */
+import {RouterError, createSystemClock, waitFor} from '@buckthornbeam/shared';
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import type {StoreReader, StoreReading} from '../src/ports.js';
+import {createKnowledge} from '../src/state/knowledge.js';
+import {isStoreReader} from '../src/state/store_readers.js';
+import {createStoreWatcher} from '../src/state/store_watcher.js';
+import {createConfiguration, silentLogger} from './support/fixtures.js';
+
+type Call = (revision: number) => Promise<StoreReading>;
+
+function createReading(
+  revision: number,
+  version: number,
+  isWhole: boolean,
+): StoreReading {
+  const configuration = createConfiguration({version});
+  return {
+    revision,
+    isWhole,
+    changes: [{type: 'configuration', configuration, text: 'text'}],
+  };
+}
+
+/** Runs a watcher over scripted calls until they are used up. */
+async function runWatcher(all: Call[], watches: Call[]) {
+  const calls: string[] = [];
+  const knowledge = createKnowledge({
+    logger: silentLogger,
+    decodeConfiguration: () => createConfiguration(),
+  });
+  let finish: () => void = () => undefined;
+  const finished = new Promise<void>(resolve => {
+    finish = resolve;
+  });
+  function next(name: string, list: Call[], revision: number) {
+    calls.push(name);
+    const call = list.shift();
+    if (!call) {
+      finish();
+      return new Promise<StoreReading>(() => undefined);
+    }
+    return call(revision);
+  }
+  const reader: StoreReader = {
+    fetchAll: () => next('all', all, 0),
+    watchChanges: revision => next(`watch ${revision}`, watches, revision),
+    decodeConfiguration: () => createConfiguration(),
+    close: () => undefined,
+  };
+  const watcher = createStoreWatcher({
+    reader,
+    knowledge,
+    clock: createSystemClock(),
+    logger: silentLogger,
+    watchMs: 100,
+    computePauseMs: () => 1,
+    mustHurry: () => false,
+  });
+  watcher.start();
+  await Promise.race([finished, waitFor(5000)]);
+  watcher.stop();
+  return {calls, knowledge};
+}
+
+const fail = (code: 'platform_unavailable' | 'platform_history_lost') => () =>
+  Promise.reject(new RouterError(code, 'no'));
+
+describe('store watcher', () => {
+  it('reads everything, then watches from that revision', async () => {
+    const {calls, knowledge} = await runWatcher(
+      [async () => createReading(7, 1, true)],
+      [async () => createReading(9, 2, false)],
+    );
+    assert.equal(calls, ['all', 'watch 7', 'watch 9']);
+    assert.is(knowledge.getConfiguration()!.version, 2);
+  });
+
+  it('watches on from the same revision after a failed call', async () => {
+    const {calls} = await runWatcher(
+      [async () => createReading(7, 1, true)],
+      [fail('platform_unavailable'), async () => createReading(8, 2, false)],
+    );
+    assert.equal(calls, ['all', 'watch 7', 'watch 7', 'watch 8']);
+  });
+
+  it('reads everything again when the history is lost', async () => {
+    const {calls} = await runWatcher(
+      [
+        async () => createReading(7, 1, true),
+        async () => createReading(20, 3, true),
+      ],
+      [fail('platform_history_lost')],
+    );
+    assert.equal(calls, ['all', 'watch 7', 'all', 'watch 20']);
+  });
+
+  it('tries the first reading until it succeeds', async () => {
+    const {calls} = await runWatcher(
+      [fail('platform_unavailable'), async () => createReading(7, 1, true)],
+      [],
+    );
+    assert.equal(calls, ['all', 'all', 'watch 7']);
+  });
+});
+
+describe('store readers', () => {
+  it('are all instances of a small fleet', () => {
+    const instanceIds = ['a', 'b', 'c'];
+    for (const selfId of instanceIds) {
+      assert.ok(isStoreReader({selfId, instanceIds, readers: 8}));
+    }
+  });
+
+  it('are as many as asked for in a large fleet', () => {
+    const instanceIds = Array.from({length: 88}, (_, index) => `i${index}`);
+    const readers = instanceIds.filter(selfId =>
+      isStoreReader({selfId, instanceIds, readers: 8}),
+    );
+    assert.is(readers.length, 8);
+  });
+});
--- /dev/null
+++ b/packages/gateway/__tests__/support/fixtures.ts
@@ -0,0 +1,118 @@
+/** Small values that the tests of the gateway share. */
+import {LogLevel, createLogger} from '@buckthornbeam/shared';
+import {RouteKind} from '../../src/model.js';
+import type {
+  BackendServer,
+  Route,
+  ServiceConfiguration,
+} from '../../src/model.js';
+import type {ServerDialect} from '../../src/ports.js';
+import {createKnowledge} from '../../src/state/knowledge.js';
+
+export const silentLogger = createLogger({level: LogLevel.SILENT});
+
+export function createRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'host',
+    pathPrefix: '/a/',
+    kind: RouteKind.SAFE,
+    targets: [{serviceName: 'service', weight: 1}],
+    timeoutMs: 2000,
+    targetLatencyMs: 200,
+    eventPauseMs: undefined,
+    priority: 0,
+    maximumServers: 2,
+    isPublic: false,
+    isResumable: false,
+    allowedRegions: [],
+    ...changes,
+  };
+}
+
+export function createConfiguration(
+  changes: Partial<ServiceConfiguration> = {},
+): ServiceConfiguration {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: new Map([
+      [
+        'service',
+        {
+          name: 'service',
+          maximumConnections: 100,
+          coldMs: 3000,
+          coldRequestsPerSecond: 0,
+          engine: undefined,
+        },
+      ],
+    ]),
+    customersByKey: new Map([['key', {name: 'customer', priority: undefined}]]),
+    limits: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    ...changes,
+  };
+}
+
+export function createServerEntry(
+  changes: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    id: 's1',
+    serviceName: 'service',
+    address: '127.0.0.1:1',
+    dataCentre: 'north',
+    isDraining: false,
+    slots: 4,
+    coldLeftMs: 0,
+    startedAt: 1,
+    ...changes,
+  };
+}
+
+/** Knowledge of a configuration and servers, confirmed at time 0. */
+export function createFilledKnowledge(
+  configuration: ServiceConfiguration,
+  servers: readonly BackendServer[],
+) {
+  const knowledge = createKnowledge({
+    logger: silentLogger,
+    decodeConfiguration: () => configuration,
+  });
+  knowledge.applyReading(
+    {
+      revision: 10,
+      isWhole: true,
+      changes: [
+        {type: 'configuration', configuration, text: 'text'},
+        ...servers.map(server => ({type: 'server', server}) as const),
+      ],
+    },
+    0,
+  );
+  return knowledge;
+}
+
+/** A dialect with short header names of its own. */
+export const testDialect: ServerDialect = {
+  buildHeaders: (received, fields) => [
+    ...received,
+    'deadline',
+    String(fields.deadlineLeftMs),
+    'server',
+    fields.serverId,
+    ...(fields.lastEventId === undefined ? [] : ['last', fields.lastEventId]),
+  ],
+  readAnswer: (status, headers) => ({
+    requestId: headers['id'] as string | undefined,
+    isNotRun: headers['not-run'] !== undefined,
+    isOtherServer: status === 421,
+    isSealed: headers['seal'] !== undefined,
+    isTransformed: headers['content-encoding'] !== undefined,
+  }),
+};
--- /dev/null
+++ b/packages/membership/__tests__/gossip_table.spec.ts
@@ -0,0 +1,168 @@
+/** Gossip between instances. */
+import {createRandom} from '@buckthornbeam/shared';
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import {createGossipTable} from '../src/gossip_table.js';
+import type {GossipRecord} from '../src/gossip_table.js';
+
+const ROUND_MS = 400;
+
+function createRecord(
+  id: string,
+  round: number,
+  incarnation = 'first',
+): GossipRecord {
+  return {
+    instanceId: id,
+    incarnation,
+    round,
+    gossipAddress: `${id}:1`,
+    callerAddress: `${id}:2`,
+    dataCentre: 'north',
+    isReady: true,
+    isLeaving: false,
+  };
+}
+
+function createTable(id: string, seeds: readonly string[]) {
+  return createGossipTable({
+    selfId: id,
+    selfAddress: `${id}:1`,
+    seedAddresses: seeds,
+  });
+}
+
+/** A fleet in which datagrams are lost at random. */
+function createFleet(count: number, seed: number, loss: number) {
+  const random = createRandom(seed);
+  const ids = Array.from({length: count}, (_, index) => `i${index}`);
+  const seeds = ids.slice(0, 3).map(id => `${id}:1`);
+  const tables = new Map(ids.map(id => [id, createTable(id, seeds)]));
+  const down = new Set<string>();
+  const rounds = new Map<string, number>();
+  let now = 0;
+
+  function runRound(): void {
+    now += ROUND_MS;
+    for (const [id, table] of tables) {
+      if (down.has(id)) {
+        continue;
+      }
+      const round = (rounds.get(id) ?? 0) + 1;
+      rounds.set(id, round);
+      const relayed = table.pickRelayed(now, () => random.nextFloat());
+      for (const target of table.pickTargets(now, () => random.nextFloat())) {
+        const targetId = target.split(':')[0]!;
+        if (!down.has(targetId) && random.nextFloat() >= loss) {
+          tables.get(targetId)!.receive(createRecord(id, round), relayed, now);
+        }
+      }
+    }
+  }
+
+  return {
+    down,
+    runRounds: (rounds: number) => {
+      for (let index = 0; index < rounds; index++) {
+        runRound();
+      }
+    },
+    listAlive: (id: string) =>
+      tables
+        .get(id)!
+        .listAlive(now)
+        .map(member => member.record.instanceId),
+    countRecent: (id: string) => tables.get(id)!.listRecentIds(now).length,
+    ids,
+  };
+}
+
+describe('gossip table', () => {
+  describe('a fleet that starts from three seeds', () => {
+    for (const count of [6, 8, 88]) {
+      it(`knows all ${count} instances within six seconds`, () => {
+        const fleet = createFleet(count, 7, 0.05);
+        fleet.runRounds(15);
+        for (const id of fleet.ids) {
+          assert.is(fleet.countRecent(id), count, id);
+          assert.ok(fleet.listAlive(id).length >= (count - 1) * 0.95, id);
+        }
+      });
+    }
+
+    it('keeps them while datagrams are lost', () => {
+      const fleet = createFleet(88, 11, 0.1);
+      fleet.runRounds(10);
+      for (let round = 0; round < 50; round++) {
+        fleet.runRounds(1);
+        assert.ok(fleet.listAlive('i5').length >= 86);
+      }
+    });
+  });
+
+  describe('an instance that is killed', () => {
+    for (const [count, limitMs] of [
+      [8, 3000],
+      [88, 6000],
+    ] as const) {
+      it(`is not alive after ${limitMs} ms in a fleet of ${count}`, () => {
+        const fleet = createFleet(count, 3, 0);
+        fleet.runRounds(15);
+        fleet.down.add('i4');
+        fleet.runRounds(limitMs / ROUND_MS);
+        for (const id of fleet.ids.filter(other => other !== 'i4')) {
+          assert.not.ok(fleet.listAlive(id).includes('i4'));
+        }
+      });
+    }
+  });
+
+  describe('a restart', () => {
+    it('replaces the earlier incarnation at once', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('other', 50), [], 0);
+      table.receive(createRecord('other', 1, 'second'), [], 10);
+      assert.is(table.listAlive(10)[0]!.record.incarnation, 'second');
+    });
+
+    it('is not undone by a late message of the earlier incarnation', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('other', 50), [], 0);
+      table.receive(createRecord('other', 1, 'second'), [], 10);
+      table.receive(createRecord('other', 51), [], 20);
+      assert.is(table.listAlive(20)[0]!.record.incarnation, 'second');
+    });
+  });
+
+  describe('news at second hand', () => {
+    it('does not make a silent instance alive', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('dead', 5), [], 0);
+      const relayed = [{record: createRecord('dead', 5), ageMs: 100}];
+      table.receive(createRecord('other', 1), relayed, 5000);
+      const alive = table.listAlive(5000).map(m => m.record.instanceId);
+      assert.equal(alive, ['other']);
+    });
+
+    it('is counted by its age', () => {
+      const table = createTable('self', []);
+      const relayed = [{record: createRecord('far', 9), ageMs: 4000}];
+      table.receive(createRecord('other', 1), relayed, 5000);
+      const alive = table.listAlive(5000).map(m => m.record.instanceId);
+      assert.equal(alive, ['other']);
+    });
+  });
+
+  it('counts an instance until it is forgotten', () => {
+    const table = createTable('self', []);
+    table.receive(createRecord('other', 1), [], 0);
+    assert.equal(table.listRecentIds(10_000), ['other', 'self']);
+    assert.equal(table.listRecentIds(16_000), ['self']);
+  });
+
+  it('asks seeds again while they are unknown', () => {
+    const table = createTable('self', ['seed:1', 'self:1']);
+    const targets = [1, 2, 3].flatMap(now => table.pickTargets(now, () => 0));
+    assert.equal(targets, ['seed:1', 'seed:1']);
+  });
+});
--- a/packages/membership/src/gossip_table.ts
+++ b/packages/membership/src/gossip_table.ts
@@ -77,7 +77,7 @@
 /** Peers for each round; news reaches 400 instances in three rounds. */
 const FANOUT = 10;
 /** Records passed on with each message; keeps a message in one packet. */
-const RELAYED_RECORDS = 4;
+const RELAYED_RECORDS = 6;
 /** Rounds between the messages to seeds that are not known as instances. */
 const SEED_ROUNDS = 2;
 
@@ -93,6 +93,8 @@
   const members = new Map<string, GossipMember>();
   /** Incarnations that a later one has replaced. */
   const retired = new Set<string>();
+  /** Addresses that have not had an answer to their first message. */
+  let newcomers: string[] = [];
   let rounds = 0;
 
   function computeAliveMs(): number {
@@ -112,6 +114,9 @@
 
   function acceptDirect(record: GossipRecord, now: number): void {
     const known = members.get(record.instanceId);
+    if (!known) {
+      newcomers.push(record.gossipAddress);
+    }
     if (!known || isNewer(record, known)) {
       acceptRecord(record, now);
       return;
@@ -175,6 +180,8 @@
         member => member.record.gossipAddress,
       );
       const targets = new Set(pickSample(known, FANOUT, nextFloat));
+      newcomers.forEach(address => targets.add(address));
+      newcomers = [];
       if (rounds % SEED_ROUNDS === 1) {
         const unknown = seeds.filter(address => !known.includes(address));
         unknown.forEach(address => targets.add(address));
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -22,20 +22,18 @@
 const LAST_LINE = /^ {2}Duration: /m;
 const parallel = Math.max(2, Math.floor(availableParallelism() / 3));
 
-/** Test files: packages/NAME/dist/__tests__/**.spec.js with a source. */
+/** Test files: PACKAGE/dist/__tests__/**.spec.js with a source. */
 function listTestFiles() {
-  return readdirSync('packages').flatMap(name => {
-    const source = join('packages', name, '__tests__');
+  const packages = readdirSync('packages').map(name => join('packages', name));
+  return [...packages, 'platform'].flatMap(folder => {
+    const source = join(folder, '__tests__');
     if (!existsSync(source)) {
       return [];
     }
     return readdirSync(source, {recursive: true})
       .filter(file => file.endsWith('.spec.ts'))
       .map(file =>
-        join('packages', name, 'dist', '__tests__', file).replace(
-          /\.ts$/,
-          '.js',
-        ),
+        join(folder, 'dist', '__tests__', file).replace(/\.ts$/, '.js'),
       )
       .sort();
   });
