--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -51,6 +51,8 @@
   serverId: string;
   /** Tokens that the server has to read. */
   unreadTokens: number;
+  /** The server is the one on which prompts with these parts gather. */
+  isHome: boolean;
   /** Expected time until the prompt is read, in milliseconds. */
   expectedReadMs: number;
   /** Expected time until the answer is whole, in milliseconds. */
@@ -67,8 +69,13 @@
  * server as well as from the request itself.
  */
 const READING_WEIGHT = 8;
-/** Cost of leaving the pool of its kind, in milliseconds of waiting. */
-const OTHER_POOL_COST_MS = 300;
+/** Cost of a short prompt among long ones, in milliseconds of waiting. */
+const SHORT_AMONG_LONG_COST_MS = 300;
+/**
+ * Cost of a long prompt among short ones, in milliseconds of waiting. It makes
+ * many short answers late, so only an idle pool is worth it.
+ */
+const LONG_AMONG_SHORT_COST_MS = 4000;
 /** Cost of a server that fails every request, in milliseconds of waiting. */
 const FAILURE_COST_MS = 4000;
 /** Cost of one more answer generated beside, in milliseconds. */
@@ -149,6 +156,18 @@
   return lateMs * LATE_WEIGHT + missedMs * MISSED_WEIGHT;
 }
 
+function computePoolCost(
+  {serverId}: EngineCandidate,
+  {promptTokens}: EngineRequest,
+  shortPool: ReadonlySet<string>,
+): number {
+  const isShort = isShortPrompt(promptTokens);
+  if (shortPool.size === 0 || shortPool.has(serverId) === isShort) {
+    return 0;
+  }
+  return isShort ? SHORT_AMONG_LONG_COST_MS : LONG_AMONG_SHORT_COST_MS;
+}
+
 function computeCost(
   candidate: EngineCandidate,
   request: EngineRequest,
@@ -157,15 +176,13 @@
   options: PlacementOptions,
 ): number {
   const {tokensPerMs, shortPool} = options;
-  const isInShortPool = shortPool.has(candidate.serverId);
-  const isOtherPool = isInShortPool !== isShortPrompt(request.promptTokens);
   return (
     candidate.unreadTokens / tokensPerMs +
     (READING_WEIGHT * unread) / tokensPerMs +
     computeCrowdingCost(candidate, request) +
     computeLateness(request, times.readMs, times.endMs) +
     candidate.failureRate * FAILURE_COST_MS +
-    (isOtherPool && shortPool.size > 0 ? OTHER_POOL_COST_MS : 0)
+    computePoolCost(candidate, request, shortPool)
   );
 }
 
@@ -211,6 +228,7 @@
       best = {
         serverId,
         unreadTokens,
+        isHome: serverId === home,
         expectedReadMs: readMs,
         expectedEndMs: endMs,
         cost,
--- a/packages/gateway/src/front/caller_front.ts
+++ b/packages/gateway/src/front/caller_front.ts
@@ -2,8 +2,9 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {EnginePlacement} from '@buckthornbeam/decisions';
 import {RouterError, toRouterError} from '@buckthornbeam/shared';
-import type {Clock, Logger} from '@buckthornbeam/shared';
+import type {Clock, LogFields, Logger} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
 import type {CallerLimits, RequestFacts} from '../model.js';
 import type {CallerDialect} from '../ports.js';
@@ -27,6 +28,8 @@
   /** @throws RouterError if the request is not allowed */
   grantAccess: (facts: RequestFacts) => Promise<GrantedAccess>;
   getLimits: () => CallerLimits | undefined;
+  /** Version and age of the knowledge that decides, for the log. */
+  describeKnowledge: () => LogFields;
   maximumOpenRequests: number;
   maximumHeldBytes: number;
   clock: Clock;
@@ -73,6 +76,17 @@
   return bytes;
 }
 
+function describePlacement(placement: EnginePlacement | undefined): LogFields {
+  return placement
+    ? {
+        home: placement.isHome,
+        unreadTokens: placement.unreadTokens,
+        expectedReadMs: Math.round(placement.expectedReadMs),
+        expectedEndMs: Math.round(placement.expectedEndMs),
+      }
+    : {};
+}
+
 /** Answers what the parser rejects; the connection ends. */
 function answerMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -198,6 +212,9 @@
       firstByteMs: report?.firstByteMs && Math.round(report.firstByteMs),
       totalMs: Math.round(totalMs),
       deadlineMs: log.facts?.deadlineMs,
+      promptTokens: log.facts?.generation?.promptTokens,
+      ...describePlacement(report?.placement),
+      ...options.describeKnowledge(),
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -264,6 +264,10 @@
     },
     grantAccess,
     getLimits: () => knowledge.getConfiguration()?.limits,
+    describeKnowledge: () => ({
+      version: knowledge.getConfiguration()?.version,
+      knowledgeAgeMs: Math.round(knowledge.computeAge(clock.now())),
+    }),
     maximumOpenRequests: settings.limits.maximumOpenRequests,
     maximumHeldBytes: settings.limits.maximumHeldBytes,
     clock,
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -3,6 +3,7 @@
  * many attempts as its route, its kind and the budget allow.
  */
 import {ServerOutcome} from '@buckthornbeam/decisions';
+import type {EnginePlacement} from '@buckthornbeam/decisions';
 import {Outcome, RouterError, waitFor} from '@buckthornbeam/shared';
 import type {Clock} from '@buckthornbeam/shared';
 import {RouteKind} from '../model.js';
@@ -54,6 +55,8 @@
   servers: string[];
   /** How each attempt ended. */
   reasons: string[];
+  /** How the last generation was placed. */
+  placement: EnginePlacement | undefined;
   /** Time until the first event or the whole answer, in milliseconds. */
   firstByteMs: number | undefined;
   error: RouterError | undefined;
@@ -95,6 +98,7 @@
   const {clock, selection, activity, budgets} = context;
   const {route, facts, receivedAt, left} = request;
   const isStream = route.kind === RouteKind.STREAM;
+  const priority = request.customer?.priority ?? route.priority;
   const waitMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
   const endsAt = receivedAt + waitMs;
   const excluded = new Set<string>();
@@ -105,6 +109,7 @@
   const report: RelayReport = {
     servers: [],
     reasons: [],
+    placement: undefined,
     firstByteMs: undefined,
     error: undefined,
   };
@@ -143,7 +148,7 @@
         route,
         facts,
         excluded,
-        endsAt - now,
+        {targetMs: route.targetLatencyMs, leftMs: endsAt - now, priority},
         now,
       );
       if (selected || left.aborted || clock.now() + LOOK_MS > giveUpAt) {
@@ -206,9 +211,9 @@
   async function runAttempt(selected: SelectedServer): Promise<AttemptResult> {
     const {server, service, ticket} = selected;
     const {customer} = request;
-    const priority = customer?.priority ?? route.priority;
     const state: {begun?: () => void} = {};
     report.servers.push(server.id);
+    report.placement = selected.placement;
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -8,6 +8,7 @@
 } from '@buckthornbeam/decisions';
 import type {
   ColdTolerance,
+  EnginePlacement,
   EngineRequest,
   ServerOutcome,
 } from '@buckthornbeam/decisions';
@@ -51,10 +52,8 @@
   service: Service;
   /** The attempt counts as work of the server until this ends. */
   ticket: WorkTicket;
-  /** Tokens that the server is expected to read; 0 for plain services. */
-  unreadTokens: number;
-  /** Expected time until the answer is whole, in milliseconds; 0 if not estimated. */
-  expectedEndMs: number;
+  /** How a generation was placed; absent for plain services. */
+  placement?: EnginePlacement;
 }
 
 /** Selects servers. */
@@ -63,8 +62,7 @@
     route: Route,
     request: RequestFacts,
     excluded: ReadonlySet<string>,
-    /** Time left until the answer must be whole, in milliseconds. */
-    leftMs: number,
+    limits: PlacementLimits,
     now: number,
   ): SelectedServer | undefined;
   recordOutcome(serverId: string, outcome: ServerOutcome, now: number): void;
@@ -83,20 +81,37 @@
 
 /**
  * An answer expected to take so many times the time left is not begun. The
- * estimate is rough, so only clear cases count.
+ * estimate is rough, so only clear cases count for the most urgent requests;
+ * the less urgent ones make room first.
  */
-const MISSED_PART = 1.2;
+const MISSED_PARTS = [1.2, 1, 0.8];
 
 function countSharedTokens(facts: GenerationFacts): number {
   return facts.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
 
+function getMissedPart(priority: number): number {
+  const rank = Math.min(Math.max(0, priority), MISSED_PARTS.length - 1);
+  return MISSED_PARTS[Math.floor(rank)]!;
+}
+
+/** What a request's route and time ask of its placement. */
+export interface PlacementLimits {
+  /** Time within which the first event is on time, in milliseconds. */
+  targetMs: number;
+  /** Time left until the answer must be whole, in milliseconds. */
+  leftMs: number;
+  /** 0 is the highest. */
+  priority: number;
+}
+
 function buildEngineRequest(
   facts: GenerationFacts,
-  limits: {targetMs: number; leftMs: number},
+  {targetMs, leftMs}: PlacementLimits,
 ): EngineRequest {
   return {
-    ...limits,
+    targetMs,
+    leftMs,
     promptTokens: facts.promptTokens,
     sharedTokens: countSharedTokens(facts),
     sharedKey: facts.parts
@@ -215,8 +230,7 @@
       const known = choosePlain(rest, now)!;
       if (claimServer(known, service, now)) {
         const ticket = loads.add(known.server.id, 0, 0, now);
-        const {server} = known;
-        return {server, service, ticket, unreadTokens: 0, expectedEndMs: 0};
+        return {server: known.server, service, ticket};
       }
       rest.splice(rest.indexOf(known), 1);
     }
@@ -245,7 +259,7 @@
     servers: readonly KnownServer[],
     service: Service,
     facts: GenerationFacts,
-    limits: {targetMs: number; leftMs: number},
+    limits: PlacementLimits,
     now: number,
   ): SelectedServer | undefined {
     const request = buildEngineRequest(facts, limits);
@@ -264,7 +278,7 @@
         shortPool,
       })!;
       const {serverId, unreadTokens, expectedEndMs} = placement;
-      if (expectedEndMs > limits.leftMs * MISSED_PART) {
+      if (expectedEndMs > limits.leftMs * getMissedPart(limits.priority)) {
         return undefined;
       }
       const known = rest.find(item => item.server.id === serverId)!;
@@ -273,7 +287,7 @@
         const total = facts.promptTokens + request.outputTokens;
         const ticket = loads.add(serverId, unreadTokens, total, now);
         const {server} = known;
-        return {server, service, ticket, unreadTokens, expectedEndMs};
+        return {server, service, ticket, placement};
       }
       rest = rest.filter(item => item !== known);
     }
@@ -300,8 +314,7 @@
   }
 
   return {
-    select: (route, request, excluded, leftMs, now) => {
-      const limits = {targetMs: route.targetLatencyMs, leftMs};
+    select: (route, request, excluded, limits, now) => {
       for (const service of listServices(route, request.id)) {
         const servers = listUsable(service, route, excluded, now);
         const selected =
