feat(decisions): let the weight of reading rise with the waiting of the fleet

Cause: with every server behind, most long prompts left the server that holds their parts, which made all servers read more. A pattern test names the load.

--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -136,6 +136,17 @@
     });
   });
 
+  describe('a fleet that is behind as a whole', () => {
+    it('does not read shared parts again to even out the waiting', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const candidates = IDS.map(id =>
+        createCandidate(id, {unreadTokens: id === home ? 250_000 : 120_000}),
+      );
+      assert.is(placeGeneration(candidates, request, NO_POOL)!.serverId, home);
+    });
+  });
+
   describe('long prompts beside short ones', () => {
     const shortPool = chooseShortPool({serverIds: IDS, part: 0.2});
     const options = {tokensPerMs: TOKENS_PER_MS, shortPool};
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -65,10 +65,15 @@
  */
 const SHORT_PROMPT_TOKENS = 5000;
 /**
- * Weight of reading against waiting. Reading takes time from the others on the
- * server as well as from the request itself.
+ * Weight of reading against waiting on idle servers. Reading takes time from
+ * the others on the server as well as from the request itself.
  */
-const READING_WEIGHT = 8;
+const READING_WEIGHT = 4;
+/**
+ * Waiting of the average server that adds one to the weight, in milliseconds.
+ * When every server is behind, reading parts again only makes all wait longer.
+ */
+const WAIT_PER_WEIGHT_MS = 100;
 /** Cost of a short prompt among long ones, in milliseconds of waiting. */
 const SHORT_AMONG_LONG_COST_MS = 300;
 /**
@@ -173,12 +178,12 @@
   request: EngineRequest,
   unread: number,
   times: {readMs: number; endMs: number},
-  options: PlacementOptions,
+  options: PlacementOptions & {readingWeight: number},
 ): number {
   const {tokensPerMs, shortPool} = options;
   return (
     candidate.unreadTokens / tokensPerMs +
-    (READING_WEIGHT * unread) / tokensPerMs +
+    (options.readingWeight * unread) / tokensPerMs +
     computeCrowdingCost(candidate, request) +
     computeLateness(request, times.readMs, times.endMs) +
     candidate.failureRate * FAILURE_COST_MS +
@@ -186,6 +191,16 @@
   );
 }
 
+/** Computes what reading costs while the servers are as busy as they are. */
+export function computeReadingWeight(
+  candidates: readonly EngineCandidate[],
+  tokensPerMs: number,
+): number {
+  const unread = candidates.reduce((sum, item) => sum + item.unreadTokens, 0);
+  const waitMs = unread / Math.max(1, candidates.length) / tokensPerMs;
+  return READING_WEIGHT + waitMs / WAIT_PER_WEIGHT_MS;
+}
+
 /** Finds the server on which all instances gather prompts with these parts. */
 function findHome(
   candidates: readonly EngineCandidate[],
@@ -211,6 +226,8 @@
       ? undefined
       : findHome(candidates, request, options.shortPool);
   const {tokensPerMs} = options;
+  const readingWeight = computeReadingWeight(candidates, tokensPerMs);
+  const weighted = {...options, readingWeight};
   let best: (EnginePlacement & {cost: number}) | undefined;
   for (const candidate of candidates) {
     const {serverId} = candidate;
@@ -219,7 +236,7 @@
     const endMs =
       readMs + request.outputTokens * estimateTokenMs(candidate, tokensPerMs);
     const times = {readMs, endMs};
-    const cost = computeCost(candidate, request, unreadTokens, times, options);
+    const cost = computeCost(candidate, request, unreadTokens, times, weighted);
     if (
       !best ||
       cost < best.cost ||
