--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -73,7 +73,7 @@
  * Waiting of the average server that adds one to the weight, in milliseconds.
  * When every server is behind, reading parts again only makes all wait longer.
  */
-const WAIT_PER_WEIGHT_MS = 100;
+const WAIT_PER_WEIGHT_MS = 10;
 /** Cost of a short prompt among long ones, in milliseconds of waiting. */
 const SHORT_AMONG_LONG_COST_MS = 300;
 /**
