fix(gateway): cut a resumed stream whose next server fails

Cause: a server that answered 500 to a resumed stream gave a whole answer, and the stream to the caller was ended as whole after the events of the first server. Two tests in request_relay.spec failed before. Also: the weight of reading is taken from the median server, so that one hot server does not count, and rises by one for 4 ms.

--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -68,12 +68,12 @@
  * Weight of reading against waiting on idle servers. Reading takes time from
  * the others on the server as well as from the request itself.
  */
-const READING_WEIGHT = 4;
+const READING_WEIGHT = 8;
 /**
- * Waiting of the average server that adds one to the weight, in milliseconds.
+ * Waiting of the median server that adds one to the weight, in milliseconds.
  * When every server is behind, reading parts again only makes all wait longer.
  */
-const WAIT_PER_WEIGHT_MS = 10;
+const WAIT_PER_WEIGHT_MS = 4;
 /** Cost of a short prompt among long ones, in milliseconds of waiting. */
 const SHORT_AMONG_LONG_COST_MS = 300;
 /**
@@ -191,14 +191,19 @@
   );
 }
 
-/** Computes what reading costs while the servers are as busy as they are. */
+/**
+ * Computes what reading costs while the servers are as busy as they are. The
+ * median leaves out single servers that a hot key has filled.
+ */
 export function computeReadingWeight(
   candidates: readonly EngineCandidate[],
   tokensPerMs: number,
 ): number {
-  const unread = candidates.reduce((sum, item) => sum + item.unreadTokens, 0);
-  const waitMs = unread / Math.max(1, candidates.length) / tokensPerMs;
-  return READING_WEIGHT + waitMs / WAIT_PER_WEIGHT_MS;
+  const unread = candidates
+    .map(item => item.unreadTokens)
+    .sort((a, b) => a - b);
+  const median = unread[Math.floor(unread.length / 2)] ?? 0;
+  return READING_WEIGHT + median / tokensPerMs / WAIT_PER_WEIGHT_MS;
 }
 
 /** Finds the server on which all instances gather prompts with these parts. */
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -330,6 +330,28 @@
       );
     });
 
+    it('is cut, not ended, when the server that goes on fails', async () => {
+      const {got} = await runRequest({
+        scripts: [sendEvents(1, 3, false), answerFailure],
+        route: RESUMABLE,
+      });
+      assert.not.ok(got.isWhole);
+      assert.is(got.error!.code, 'answer_truncated');
+    });
+
+    it('goes on at a third server when the second fails', async () => {
+      const {got} = await runRequest({
+        scripts: [
+          sendEvents(1, 3, false),
+          answerFailure,
+          sendEvents(4, 6, true),
+        ],
+        route: RESUMABLE,
+      });
+      assert.ok(got.isWhole);
+      assert.match(got.body, 'id: 6');
+    });
+
     it('is cut, not ended, where it cannot go on', async () => {
       const {got, arrivals} = await runRequest({
         scripts: [sendEvents(1, 3, false), answerWell],
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -78,7 +78,8 @@
 const SUCCESS = 200;
 const FIRST_FAILURE = 300;
 
-function isSuccess(status: number): boolean {
+/** Whether a status means success. */
+export function isSuccess(status: number): boolean {
   return status >= SUCCESS && status < FIRST_FAILURE;
 }
 
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -15,7 +15,7 @@
   SelectedServer,
   ServerSelection,
 } from '../state/server_selection.js';
-import {AttemptEnd, startAttempt} from './attempt.js';
+import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {Attempt, AttemptResult, StreamSink} from './attempt.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {computeRetryAfter} from './retry_after.js';
@@ -286,6 +286,11 @@
   /** Passes on what the last attempt gave; the error says so otherwise. */
   function settleResult(result: AttemptResult): RouterError | undefined {
     if (result.end === AttemptEnd.COMPLETE) {
+      if (answer.hasBegun && !isSuccess(result.head!.status)) {
+        return new RouterError('answer_truncated', 'the resumed run failed', {
+          outcome: Outcome.UNKNOWN,
+        });
+      }
       if (answer.hasBegun) {
         answer.endStream();
       } else {
@@ -309,10 +314,7 @@
 
   /** An own failure of a server is worth another try where that is allowed. */
   function isWorthRepeating(result: AttemptResult): boolean {
-    return (
-      result.end !== AttemptEnd.COMPLETE ||
-      (!answer.hasBegun && isServerFailure(result))
-    );
+    return result.end !== AttemptEnd.COMPLETE || isServerFailure(result);
   }
 
   async function runAttempts(): Promise<RouterError | undefined> {
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -12,3 +12,5 @@
 } from './plain_service.js';
 export {PlatformMode, startPlatform} from './platform.js';
 export type {Platform, PlatformInstance, PlatformOptions} from './platform.js';
+export {Flow, startProxy} from './processes/proxy.js';
+export type {Proxy, ProxyMode} from './processes/proxy.js';
--- a/scripts/prepare.mjs
+++ b/scripts/prepare.mjs
@@ -1,4 +1,4 @@
-/** Installs from the lock file where needed, then builds. */
+/** Installs from the lock file where needed, then builds and bundles. */
 import {spawnSync} from 'node:child_process';
 import {existsSync, statSync} from 'node:fs';
 
@@ -21,3 +21,4 @@
   run('npm', ['ci', '--ignore-scripts', '--prefer-offline']);
 }
 run('npx', ['tsc', '-b']);
+run('node', ['scripts/bundle.mjs']);
