--- a/packages/gateway/src/front/caller_front.ts
+++ b/packages/gateway/src/front/caller_front.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {EnginePlacement} from '@buckthornbeam/decisions';
-import {RouterError, toRouterError} from '@buckthornbeam/shared';
+import {RouterError, splitAddress, toRouterError} from '@buckthornbeam/shared';
 import type {Clock, LogFields, Logger} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
 import type {CallerLimits, RequestFacts} from '../model.js';
@@ -276,9 +276,9 @@
   return {
     start: () =>
       new Promise((resolve, reject) => {
-        const [host, port] = options.address.split(':');
+        const address = splitAddress(options.address);
         server.once('error', reject);
-        server.listen({host, port: Number(port), backlog: BACKLOG}, () => {
+        server.listen({...address, backlog: BACKLOG}, () => {
           server.removeListener('error', reject);
           resolve();
         });
--- a/packages/gateway/src/front/status_server.ts
+++ b/packages/gateway/src/front/status_server.ts
@@ -1,6 +1,7 @@
 /** Small HTTP servers beside the callers' port: readiness, addresses, peers, metrics. */
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {splitAddress} from '@buckthornbeam/shared';
 
 /** An answer of a status server. */
 export interface StatusAnswer {
@@ -21,10 +22,10 @@
 }
 
 function openListener(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(':');
+  const {host, port} = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(port), host, () => {
+    server.listen(port, host, () => {
       server.removeListener('error', reject);
       resolve();
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,19 +10,17 @@
 import type {GrantedAccess} from './front/access.js';
 import {createCallerFront} from './front/caller_front.js';
 import type {CallerFront} from './front/caller_front.js';
+import {createStatusHandlers} from './front/status_handlers.js';
 import {createStatusServers} from './front/status_server.js';
-import type {StatusAnswer, StatusHandler} from './front/status_server.js';
 import {createLineWriter} from './logs.js';
 import {createGatewayMetrics} from './metrics.js';
 import type {RequestFacts} from './model.js';
 import {createGossipTask} from './peers/gossip_task.js';
-import {
-  createKnowledgeExchange,
-  parseKnowledgePath,
-} from './peers/knowledge_exchange.js';
+import {createKnowledgeExchange} from './peers/knowledge_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
 import {createServerConnections} from './relay/server_connections.js';
 import type {GatewaySettings} from './settings.js';
+import {createKeyTrust} from './state/key_trust.js';
 import {createKnowledge} from './state/knowledge.js';
 import {createRepeatBudgets} from './state/repeat_budgets.js';
 import {createServerActivity} from './state/server_activity.js';
@@ -30,7 +28,6 @@
 import {createServerSelection} from './state/server_selection.js';
 import {isStoreReader} from './state/store_readers.js';
 import {createStoreWatcher} from './state/store_watcher.js';
-import {createSuspensionDetector} from './state/suspension.js';
 
 /** Options of {@link createGateway}. */
 export interface GatewayOptions {
@@ -55,15 +52,8 @@
 const GOSSIP_MS = 400;
 /** Interval of the look after forgotten servers and suspensions, in milliseconds. */
 const UPKEEP_MS = 250;
-/** Margin before a withdrawn key would be taken too late: calls under way and clock drift, in milliseconds. */
-const REVOKE_MARGIN_MS = 1200;
 /** An unknown key or route is unknown only by knowledge younger than this, in milliseconds. */
 const CERTAIN_AGE_MS = 1800;
-/** Part of the time until withdrawn keys are refused after which an instance is not ready. */
-const READY_AGE_PART = 0.6;
-/** How long a request waits after a suspension until the keys are confirmed, in milliseconds. */
-const CONFIRM_WAIT_MS = 400;
-const CONFIRM_LOOK_MS = 10;
 /** A follower reads the store itself once nobody has confirmed its knowledge for so long, in milliseconds. */
 const FOLLOWER_AGE_MS = 1500;
 /** Callers ask again after this time, so that they soon learn of changes, in seconds. */
@@ -97,14 +87,9 @@
   });
   const loads = createServerLoads();
   const activity = createServerActivity();
-  const suspension = createSuspensionDetector(clock);
   let isLeaving = false;
   let upkeep: NodeJS.Timeout | undefined;
 
-  const maximumKeyAgeMs = settings.keys.failClosed
-    ? Math.max(0, settings.keys.revokeMs - REVOKE_MARGIN_MS)
-    : undefined;
-
   const watcher = createStoreWatcher({
     reader: options.store,
     knowledge,
@@ -131,15 +116,20 @@
     });
   }
 
+  const keyTrust = createKeyTrust({
+    knowledge,
+    clock,
+    logger,
+    failClosed: settings.keys.failClosed,
+    revokeMs: settings.keys.revokeMs,
+    onDistrust: () => watcher.refresh(),
+  });
+
   function isReady(): boolean {
-    const ageLimit =
-      maximumKeyAgeMs === undefined
-        ? Infinity
-        : settings.keys.revokeMs * READY_AGE_PART;
     return (
       !isLeaving &&
       knowledge.getConfiguration() !== undefined &&
-      knowledge.computeAge(clock.now()) < ageLimit
+      keyTrust.isFresh()
     );
   }
 
@@ -208,42 +198,12 @@
     countInstances: now => listInstances(now).length,
   });
 
-  /** A process that was suspended must not trust what it believed before. */
-  function checkSuspension(): void {
-    if (suspension.hasJumped()) {
-      logger.warn('clock_jump', {
-        reason: 'suspended, or the time of day was set',
-      });
-      knowledge.distrustAge();
-      watcher.refresh();
-    }
-  }
-
-  function isConfirmed(now: number): boolean {
-    return (
-      maximumKeyAgeMs === undefined ||
-      knowledge.computeAge(now) <= maximumKeyAgeMs
-    );
-  }
-
-  /** Gives the store and the peers a moment to confirm the keys. */
-  async function waitForConfirmation(): Promise<void> {
-    const giveUpAt = clock.now() + CONFIRM_WAIT_MS;
-    while (
-      knowledge.getConfiguration() &&
-      !isConfirmed(clock.now()) &&
-      clock.now() < giveUpAt
-    ) {
-      await waitFor(CONFIRM_LOOK_MS);
-    }
-  }
-
   async function grantAccess(facts: RequestFacts): Promise<GrantedAccess> {
-    checkSuspension();
-    await waitForConfirmation();
+    keyTrust.checkSuspension();
+    await keyTrust.waitForConfirmation();
     return checkAccess(facts, {
       knowledge,
-      maximumKeyAgeMs,
+      maximumKeyAgeMs: keyTrust.maximumAgeMs,
       certainAgeMs: CERTAIN_AGE_MS,
       now: clock.now(),
     });
@@ -287,55 +247,27 @@
     return pickSample(addresses, MAXIMUM_ADDRESSES);
   }
 
-  const answerReadiness: StatusHandler = url =>
-    url.split('?')[0] === callers.readinessPath
-      ? {status: isReady() ? 200 : 503}
-      : undefined;
-
-  const answerAddresses: StatusHandler = url =>
-    callers.isAddressQuery(url)
-      ? {
-          status: 200,
-          body: callers.encodeAddresses(
-            listAddresses(),
-            Math.min(ADDRESS_TTL_S, settings.addresses.maximumTtlS),
-          ),
-        }
-      : undefined;
-
-  const answerKnowledge: StatusHandler = url => {
-    const readerVersion = parseKnowledgePath(url);
-    if (readerVersion === undefined) {
-      return undefined;
-    }
-    const snapshot = knowledge.buildSnapshot(readerVersion, clock.now());
-    return snapshot
-      ? {status: 200, body: JSON.stringify(snapshot)}
-      : {status: 503};
-  };
-
-  const answerMetrics: StatusHandler = url =>
-    url === '/metrics'
-      ? metrics.render().then(
-          (body): StatusAnswer => ({
-            status: 200,
-            contentType: 'text/plain',
-            body,
-          }),
-        )
-      : undefined;
+  const handlers = createStatusHandlers({
+    dialect: callers,
+    knowledge,
+    metrics,
+    clock,
+    isReady,
+    listAddresses,
+    addressTtlS: Math.min(ADDRESS_TTL_S, settings.addresses.maximumTtlS),
+  });
 
   const statusServers = createStatusServers([
-    [settings.listen.readiness, answerReadiness],
-    [settings.listen.addresses, answerAddresses],
-    [settings.listen.peers, answerKnowledge],
+    [settings.listen.readiness, handlers.answerReadiness],
+    [settings.listen.addresses, handlers.answerAddresses],
+    [settings.listen.peers, handlers.answerKnowledge],
     ...(settings.listen.metrics
-      ? [[settings.listen.metrics, answerMetrics] as const]
+      ? [[settings.listen.metrics, handlers.answerMetrics] as const]
       : []),
   ]);
 
   function runUpkeep(): void {
-    checkSuspension();
+    keyTrust.checkSuspension();
     selection.prune();
   }
 
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -2,6 +2,7 @@
 import {createSocket} from 'node:dgram';
 import {createGossipTable} from '@buckthornbeam/membership';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
+import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {Knowledge} from '../state/knowledge.js';
 import type {ServerLoads} from '../state/server_loads.js';
@@ -33,14 +34,6 @@
   stop(): void;
 }
 
-function splitAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 /** Creates a task that has not started. */
 export function createGossipTask(options: GossipTaskOptions): GossipTask {
   const {knowledge, loads, clock, logger, random = Math.random} = options;
--- a/packages/gateway/src/peers/knowledge_exchange.ts
+++ b/packages/gateway/src/peers/knowledge_exchange.ts
@@ -3,7 +3,7 @@
  * fetch it from a peer that has seen more.
  */
 import {request as startRequest} from 'node:http';
-import {toRouterError} from '@buckthornbeam/shared';
+import {splitAddress, toRouterError} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import {z} from 'zod';
 import type {Knowledge, KnowledgeSnapshot} from '../state/knowledge.js';
@@ -73,8 +73,11 @@
 
 function fetchText(address: string, path: string): Promise<string> {
   return new Promise((resolve, reject) => {
-    const [host, port] = address.split(':');
-    const outgoing = startRequest({host, port, path, agent: false});
+    const outgoing = startRequest({
+      ...splitAddress(address),
+      path,
+      agent: false,
+    });
     const timer = setTimeout(() => {
       outgoing.destroy(new Error(`no answer within ${FETCH_MS} ms`));
     }, FETCH_MS);
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -1,6 +1,7 @@
 /** One request to one backend server, and what is known of how far it got. */
 import {request as startRequest} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
+import {splitAddress} from '@buckthornbeam/shared';
 import {isCloseDelimited, isReset} from './server_connections.js';
 
 /** Options of {@link startExchange}. */
@@ -38,14 +39,6 @@
   readonly code = 'TRUNCATED';
 }
 
-function splitAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 /** Whether the error came before the connection stood. */
 function isConnectError(error: Error): boolean {
   return (error as NodeJS.ErrnoException).syscall === 'connect';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,6 @@
 /** Parts that every package uses: time, errors, logs, metrics, hashes. */
+export {splitAddress} from './address.js';
+export type {AddressParts} from './address.js';
 export {loadChart} from './chart.js';
 export type {Chart} from './chart.js';
 export {RouterError, errorTable, isErrorCode, toRouterError} from './errors.js';
