--- a/packages/membership/src/gossip_table.ts
+++ b/packages/membership/src/gossip_table.ts
@@ -78,6 +78,11 @@
 const FANOUT = 10;
 /** Records passed on with each message; keeps a message in one packet. */
 const RELAYED_RECORDS = 6;
+/**
+ * In a fleet where every round reaches everybody, records are passed on only so
+ * long after an instance came, in milliseconds.
+ */
+const INTRODUCTION_MS = 5000;
 /** Rounds between the messages to seeds that are not known as instances. */
 const SEED_ROUNDS = 2;
 
@@ -95,6 +100,7 @@
   const retired = new Set<string>();
   /** Addresses that have not had an answer to their first message. */
   let newcomers: string[] = [];
+  let lastArrivalAt = -Infinity;
   let rounds = 0;
 
   function computeAliveMs(): number {
@@ -109,6 +115,9 @@
   }
 
   function acceptRecord(record: GossipRecord, seenAt: number): void {
+    if (!members.has(record.instanceId)) {
+      lastArrivalAt = Math.max(lastArrivalAt, seenAt);
+    }
     members.set(record.instanceId, {record, seenAt});
   }
 
@@ -190,12 +199,14 @@
       return [...targets];
     },
     pickRelayed: (now, nextFloat) =>
-      pickSample([...members.values()], RELAYED_RECORDS, nextFloat).map(
-        member => ({
-          record: member.record,
-          ageMs: Math.max(0, now - member.seenAt),
-        }),
-      ),
+      members.size <= FANOUT && now - lastArrivalAt > INTRODUCTION_MS
+        ? []
+        : pickSample([...members.values()], RELAYED_RECORDS, nextFloat).map(
+            member => ({
+              record: member.record,
+              ageMs: Math.max(0, now - member.seenAt),
+            }),
+          ),
     updateSeeds: addresses => {
       seeds = [...addresses];
     },
