fix(stand-ins): keep the order of bytes in the proxy when a delay or a hold ends

Cause: the proxy sent each chunk after its own timer, so when 'delay-server' was taken back within a stream, the final chunk overtook the delayed events; TCP never does that. The bytes of an ending connection were lost in the same way. Ruled out: the gateway, which passes on a body that its framing calls whole.

--- /dev/null
+++ b/packages/stand_ins/__tests__/proxy.spec.ts
@@ -0,0 +1,94 @@
+/** The proxy that injects faults of a network. */
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {describe, it} from '@buckthornbeam/testing';
+import * as assert from 'uvu/assert';
+import {Flow, startProxy} from '../src/index.js';
+import type {Proxy} from '../src/index.js';
+
+const DELAY_MS = 150;
+
+interface Line {
+  proxy: Proxy;
+  /** The end of the connection at the server. */
+  server: Socket;
+  /** All that the client received, once the connection has ended. */
+  received: Promise<string>;
+}
+
+/** Runs a check over one connection through a proxy. */
+async function runOverProxy(
+  check: (line: Line) => Promise<void>,
+): Promise<void> {
+  const listener = createServer();
+  await new Promise<void>(resolve =>
+    listener.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = listener.address() as AddressInfo;
+  const proxy = await startProxy(`127.0.0.1:${port}`);
+  const accepted = new Promise<Socket>(resolve =>
+    listener.once('connection', resolve),
+  );
+  const [host = '', proxyPort = ''] = proxy.address.split(':');
+  const client = connect({host, port: Number(proxyPort)});
+  const received = new Promise<string>(resolve => {
+    let text = '';
+    client.on('data', bytes => (text += bytes.toString()));
+    client.on('close', () => resolve(text));
+  });
+  try {
+    await check({proxy, server: await accepted, received});
+  } finally {
+    client.destroy();
+    await proxy.close();
+    listener.close();
+  }
+}
+
+function write(socket: Socket, text: string): Promise<void> {
+  return new Promise(resolve => socket.write(text, () => resolve()));
+}
+
+/** Waits until the proxy has read what was written before. */
+function waitForProxy(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, DELAY_MS / 5));
+}
+
+describe('proxy', () => {
+  it('keeps the order of bytes when a delay ends', async () => {
+    await runOverProxy(async ({proxy, server, received}) => {
+      await proxy.setMode({delayMs: DELAY_MS});
+      await write(server, 'first,');
+      await waitForProxy();
+      await proxy.setMode({});
+      await write(server, 'second');
+      server.end();
+      assert.is(await received, 'first,second');
+    });
+  });
+
+  it('delivers delayed bytes before the end of the connection', async () => {
+    await runOverProxy(async ({proxy, server, received}) => {
+      await proxy.setMode({delayMs: DELAY_MS});
+      await write(server, 'whole');
+      await waitForProxy();
+      await proxy.setMode({});
+      server.destroy();
+      assert.is(await received, 'whole');
+    });
+  });
+
+  it('keeps the order of bytes when a hold ends', async () => {
+    await runOverProxy(async ({proxy, server, received}) => {
+      await proxy.setMode({toClient: Flow.HOLD});
+      await write(server, 'first,');
+      await waitForProxy();
+      await proxy.setMode({delayMs: DELAY_MS});
+      await write(server, 'second');
+      await waitForProxy();
+      await proxy.setMode({});
+      server.end();
+      assert.is(await received, 'first,second');
+    });
+  });
+});
--- a/packages/stand_ins/src/processes/proxy.ts
+++ b/packages/stand_ins/src/processes/proxy.ts
@@ -35,12 +35,24 @@
   close(): Promise<void>;
 }
 
+type Direction = 'toServer' | 'toClient';
+
+const directions: readonly Direction[] = ['toServer', 'toClient'];
+
+/** Bytes on their way. */
+interface Delivery {
+  bytes: Buffer;
+  /** Not before this time, in milliseconds of the steady clock. */
+  dueAt: number;
+}
+
 interface Link {
   client: Socket;
   server: Socket;
   /** Where the answer's bytes go instead, when crossed. */
   partner?: Link;
-  held: {toServer: Buffer[]; toClient: Buffer[]};
+  /** Bytes leave in the order in which they came, also when a delay ends. */
+  queues: Record<Direction, Delivery[]>;
 }
 
 const passing: ProxyMode = {
@@ -65,21 +77,28 @@
   let mode = passing;
   const observers: Array<() => void> = [];
 
-  function forwardBytes(
-    link: Link,
-    direction: 'toServer' | 'toClient',
-    bytes: Buffer,
-  ): void {
-    if (mode[direction] === Flow.HOLD) {
-      link.held[direction].push(bytes);
-      return;
+  /** Writes what is due; the rest follows in time or once the hold ends. */
+  function deliverDue(link: Link, direction: Direction): void {
+    const queue = link.queues[direction];
+    while (queue.length > 0 && mode[direction] === Flow.PASS) {
+      const leftMs = queue[0]!.dueAt - performance.now();
+      if (leftMs > 0) {
+        setTimeout(() => deliverDue(link, direction), Math.ceil(leftMs));
+        return;
+      }
+      const end = direction === 'toServer' ? link : (link.partner ?? link);
+      const socket = direction === 'toServer' ? end.server : end.client;
+      writeTo(socket, queue.shift()!.bytes);
     }
-    const end = direction === 'toServer' ? link : (link.partner ?? link);
-    const socket = direction === 'toServer' ? end.server : end.client;
-    if (mode.delayMs > 0) {
-      setTimeout(() => writeTo(socket, bytes), mode.delayMs);
-    } else {
-      writeTo(socket, bytes);
+  }
+
+  function forwardBytes(link: Link, direction: Direction, bytes: Buffer): void {
+    const queue = link.queues[direction];
+    const dueAt = performance.now() + mode.delayMs;
+    queue.push({bytes, dueAt});
+    // Otherwise the delivery of the bytes before takes these along.
+    if (queue.length === 1) {
+      deliverDue(link, direction);
     }
   }
 
@@ -93,16 +112,31 @@
 
   function endLink(link: Link): void {
     links.delete(link);
-    // An end that is on its way is late too.
-    setTimeout(() => {
-      link.client.destroy();
-      link.server.destroy();
-    }, mode.delayMs);
+    // An end that is on its way is late too, and comes after the bytes.
+    const now = performance.now();
+    const lastDueAt = Math.max(
+      now + mode.delayMs,
+      ...directions.flatMap(direction =>
+        link.queues[direction].map(({dueAt}) => dueAt),
+      ),
+    );
+    setTimeout(
+      () => {
+        directions.forEach(direction => deliverDue(link, direction));
+        link.client.destroySoon();
+        link.server.destroySoon();
+      },
+      Math.ceil(lastDueAt - now),
+    );
   }
 
   function handleConnection(client: Socket): void {
     const server = connect({host, port: Number(port)});
-    const link: Link = {client, server, held: {toServer: [], toClient: []}};
+    const link: Link = {
+      client,
+      server,
+      queues: {toServer: [], toClient: []},
+    };
     links.add(link);
     if (mode.isCrossed) {
       connectPartner(link);
@@ -120,13 +154,7 @@
   }
 
   function releaseHeld(link: Link): void {
-    for (const direction of ['toServer', 'toClient'] as const) {
-      if (mode[direction] === Flow.PASS) {
-        for (const bytes of link.held[direction].splice(0)) {
-          forwardBytes(link, direction, bytes);
-        }
-      }
-    }
+    directions.forEach(direction => deliverDue(link, direction));
   }
 
   function breakLinks(): void {
