--- a/packages/stand_ins/src/processes/proxy.ts
+++ b/packages/stand_ins/src/processes/proxy.ts
@@ -78,12 +78,12 @@
   const observers: Array<() => void> = [];
 
   /** Writes what is due; the rest follows in time or once the hold ends. */
-  function deliverDue(link: Link, direction: Direction): void {
+  function sendDue(link: Link, direction: Direction): void {
     const queue = link.queues[direction];
     while (queue.length > 0 && mode[direction] === Flow.PASS) {
       const leftMs = queue[0]!.dueAt - performance.now();
       if (leftMs > 0) {
-        setTimeout(() => deliverDue(link, direction), Math.ceil(leftMs));
+        setTimeout(() => sendDue(link, direction), Math.ceil(leftMs));
         return;
       }
       const end = direction === 'toServer' ? link : (link.partner ?? link);
@@ -98,7 +98,7 @@
     queue.push({bytes, dueAt});
     // Otherwise the delivery of the bytes before takes these along.
     if (queue.length === 1) {
-      deliverDue(link, direction);
+      sendDue(link, direction);
     }
   }
 
@@ -122,7 +122,7 @@
     );
     setTimeout(
       () => {
-        directions.forEach(direction => deliverDue(link, direction));
+        directions.forEach(direction => sendDue(link, direction));
         link.client.destroySoon();
         link.server.destroySoon();
       },
@@ -154,7 +154,7 @@
   }
 
   function releaseHeld(link: Link): void {
-    directions.forEach(direction => deliverDue(link, direction));
+    directions.forEach(direction => sendDue(link, direction));
   }
 
   function breakLinks(): void {
