feat(decisions): tell peers where prefixes were read; count what a home has yet to read

Cause: a prompt sent to its home was counted as held there, read or not. Instances now send each other hashes of the places where prefixes were read, and a home is only preferred, not taken to hold everything.

--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import {estimateTokenMs, placeGeneration} from '../src/engine_placement.js';
 import type {EngineCandidate, EngineRequest} from '../src/engine_placement.js';
-import {createPrefixLocations} from '../src/prefix_locations.js';
+import {createPrefixLocations, listPrefixes} from '../src/prefix_locations.js';
 import {chooseShortPool} from '../src/short_pool.js';
 
 const TOKENS_PER_MS = 50;
@@ -74,6 +74,26 @@
     });
   });
 
+  describe('a burst of prompts that no server has read', () => {
+    it('counts the whole prompt as work of the home', () => {
+      const request = createRequest();
+      const idle = IDS.map(id => createCandidate(id));
+      const placement = placeGeneration(idle, request, NO_POOL)!;
+      assert.is(placement.unreadTokens, request.promptTokens);
+      assert.is(placement.isHome, true);
+    });
+
+    it('leaves a home that is behind, before anything was read there', () => {
+      const request = createRequest();
+      const home = findHome(request);
+      const candidates = IDS.map(id =>
+        createCandidate(id, {unreadTokens: id === home ? 90_000 : 0}),
+      );
+      const placement = placeGeneration(candidates, request, NO_POOL)!;
+      assert.is.not(placement.serverId, home);
+    });
+  });
+
   describe('a hot key that one server cannot bear', () => {
     it('moves to a server that holds the parts already', () => {
       const request = createRequest();
@@ -236,19 +256,78 @@
     {id: 'p1', tokens: 2000},
     {id: 'p2', tokens: 4000},
   ];
+  const prefixes = listPrefixes(parts);
 
-  it('counts the longest prefix that was read', () => {
+  it('count the longest prefix that was read', () => {
     const locations = createPrefixLocations();
-    locations.record('a', parts, 0);
-    assert.is(locations.countHeldTokens('a', parts, 1), 6000);
-    const branch = [parts[0]!, {id: 'p3', tokens: 100}];
+    locations.record('a', prefixes, 0);
+    assert.is(locations.countHeldTokens('a', prefixes, 1), 6000);
+    const branch = listPrefixes([parts[0]!, {id: 'p3', tokens: 100}]);
     assert.is(locations.countHeldTokens('a', branch, 1), 2000);
-    assert.is(locations.countHeldTokens('b', parts, 1), 0);
+    assert.is(locations.countHeldTokens('b', prefixes, 1), 0);
+  });
+
+  it('tell the models of prompts apart', () => {
+    const locations = createPrefixLocations();
+    locations.record('a', listPrefixes(parts, 'm1'), 0);
+    const other = listPrefixes(parts, 'm2');
+    assert.is(locations.countHeldTokens('a', other, 1), 0);
   });
 
-  it('forgets what was read long ago', () => {
+  it('forget what was read long ago', () => {
     const locations = createPrefixLocations();
-    locations.record('a', parts, 0);
-    assert.is(locations.countHeldTokens('a', parts, 61_000), 0);
+    locations.record('a', prefixes, 0);
+    assert.is(locations.countHeldTokens('a', prefixes, 61_000), 0);
+  });
+
+  describe('news for peers', () => {
+    it('let a peer count what another instance had read', () => {
+      const locations = createPrefixLocations();
+      const peer = createPrefixLocations();
+      locations.record('a', prefixes, 0);
+      peer.acceptNews(locations.takeNews(), false, 1);
+      assert.is(peer.countHeldTokens('a', prefixes, 2), 6000);
+      assert.is(peer.countHeldTokens('b', prefixes, 2), 0);
+    });
+
+    it('are sent in two messages, since one may be lost', () => {
+      const locations = createPrefixLocations();
+      locations.record('a', prefixes, 0);
+      const sizes = [1, 2, 3].map(() => locations.takeNews().length);
+      assert.equal(sizes, [2, 2, 0]);
+    });
+
+    it('are passed on once in a large fleet and not at all in a small one', () => {
+      const locations = createPrefixLocations();
+      locations.record('a', prefixes, 0);
+      const news = locations.takeNews();
+      const small = createPrefixLocations();
+      small.acceptNews(news, false, 1);
+      assert.is(small.takeNews().length, 0);
+      const large = createPrefixLocations();
+      large.acceptNews(news, true, 1);
+      large.acceptNews(news, true, 2);
+      assert.is(large.takeNews().length, 2);
+    });
+
+    it('are repeated when a prefix is still in use, for newcomers', () => {
+      const locations = createPrefixLocations();
+      locations.record('a', prefixes, 0);
+      locations.takeNews();
+      locations.takeNews();
+      locations.record('a', prefixes, 1000);
+      assert.is(locations.takeNews().length, 0);
+      locations.record('a', prefixes, 30_000);
+      assert.is(locations.takeNews().length, 2);
+    });
+
+    it('keep messages small when many prefixes come at once', () => {
+      const locations = createPrefixLocations();
+      for (let index = 0; index < 1000; index += 1) {
+        const many = listPrefixes([{id: `p${index}`, tokens: 100}]);
+        locations.record('a', many, 0);
+      }
+      assert.ok(locations.takeNews().length <= 150);
+    });
   });
 });
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -103,6 +103,8 @@
 const LATE_WEIGHT = 1;
 /** Cost of each millisecond beyond the time left, in milliseconds of waiting. */
 const MISSED_WEIGHT = 2;
+/** Part of the reading of shared parts that a home is not charged for. */
+const HOME_DISCOUNT = 0.5;
 /** Part of a server's memory that requests in flight may fill. */
 const MEMORY_BOUND = 0.85;
 
@@ -129,11 +131,23 @@
 function countUnread(
   candidate: EngineCandidate,
   request: EngineRequest,
+): number {
+  const held = Math.min(candidate.heldTokens, request.sharedTokens);
+  return request.promptTokens - held;
+}
+
+/**
+ * Counts the tokens whose reading a choice of this server costs. Other
+ * instances choose the same home, so reading there serves their prompts too.
+ */
+function countChargedTokens(
+  unread: number,
+  request: EngineRequest,
   isHome: boolean,
 ): number {
-  // Other instances send these prompts to the same home.
-  const held = isHome ? request.sharedTokens : candidate.heldTokens;
-  return request.promptTokens - Math.min(held, request.sharedTokens);
+  const ownTokens = request.promptTokens - request.sharedTokens;
+  const sharedUnread = Math.max(0, unread - ownTokens);
+  return isHome ? unread - sharedUnread * HOME_DISCOUNT : unread;
 }
 
 /**
@@ -176,14 +190,14 @@
 function computeCost(
   candidate: EngineCandidate,
   request: EngineRequest,
-  unread: number,
+  chargedTokens: number,
   times: {readMs: number; endMs: number},
   options: PlacementOptions & {readingWeight: number},
 ): number {
   const {tokensPerMs, shortPool} = options;
   return (
     candidate.unreadTokens / tokensPerMs +
-    (options.readingWeight * unread) / tokensPerMs +
+    (options.readingWeight * chargedTokens) / tokensPerMs +
     computeCrowdingCost(candidate, request) +
     computeLateness(request, times.readMs, times.endMs) +
     candidate.failureRate * FAILURE_COST_MS +
@@ -236,21 +250,19 @@
   let best: (EnginePlacement & {cost: number}) | undefined;
   for (const candidate of candidates) {
     const {serverId} = candidate;
-    const unreadTokens = countUnread(candidate, request, serverId === home);
+    const isHome = serverId === home;
+    const unreadTokens = countUnread(candidate, request);
+    const charged = countChargedTokens(unreadTokens, request, isHome);
     const readMs = (candidate.unreadTokens + unreadTokens) / tokensPerMs;
     const endMs =
       readMs + request.outputTokens * estimateTokenMs(candidate, tokensPerMs);
     const times = {readMs, endMs};
-    const cost = computeCost(candidate, request, unreadTokens, times, weighted);
-    if (
-      !best ||
-      cost < best.cost ||
-      (cost === best.cost && serverId === home)
-    ) {
+    const cost = computeCost(candidate, request, charged, times, weighted);
+    if (!best || cost < best.cost || (cost === best.cost && isHome)) {
       best = {
         serverId,
         unreadTokens,
-        isHome: serverId === home,
+        isHome,
         expectedReadMs: readMs,
         expectedEndMs: endMs,
         cost,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -76,8 +76,12 @@
   EngineRequest,
   PlacementOptions,
 } from './engine_placement.js';
-export {createPrefixLocations} from './prefix_locations.js';
-export type {PrefixLocations, PromptSegment} from './prefix_locations.js';
+export {createPrefixLocations, listPrefixes} from './prefix_locations.js';
+export type {
+  PrefixLocations,
+  PromptPrefix,
+  PromptSegment,
+} from './prefix_locations.js';
 export {createRepeatBudget} from './repeat_budget.js';
 export type {FleetRepeatBudget, RepeatBudget} from './repeat_budget.js';
 export {ServerOutcome, createServerOutcomes} from './server_outcomes.js';
--- a/packages/decisions/src/prefix_locations.ts
+++ b/packages/decisions/src/prefix_locations.ts
@@ -1,4 +1,9 @@
-/** Which servers are likely to hold the shared parts of a prompt in memory. */
+/**
+ * Which servers hold the shared parts of a prompt in memory. Instances tell
+ * each other where a prefix was read for the first time, so that all of them
+ * count what a server has yet to read.
+ */
+import {hashToUint32} from '@buckthornbeam/shared';
 import {LRUCache} from 'lru-cache';
 
 /** One part of a prompt. */
@@ -7,57 +12,107 @@
   tokens: number;
 }
 
+/** A prompt up to the end of one of its parts. */
+export interface PromptPrefix {
+  hash: number;
+  tokens: number;
+}
+
 /** Remembers where prompts were read. */
 export interface PrefixLocations {
-  /** A server has read all these parts, in order. */
-  record(serverId: string, parts: readonly PromptSegment[], now: number): void;
+  /** A server has read, or is about to read, all these prefixes. */
+  record(
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
+    now: number,
+  ): void;
   /** Tokens of the prompt that the server is likely to hold. */
   countHeldTokens(
-    serverId: string,
-    parts: readonly PromptSegment[],
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
     now: number,
   ): number;
-  /** The server holds nothing any more. */
-  forgetServer(serverId: string): void;
+  /** Takes what the next message tells peers. */
+  takeNews(): number[];
+  /** Takes what a peer tells; in a large fleet it is passed on. */
+  acceptNews(news: readonly number[], isPassedOn: boolean, now: number): void;
 }
 
-/** Prefixes remembered over all servers. */
-const MAXIMUM_PREFIXES = 20_000;
+/** Places of prefixes that are remembered, over all servers. */
+const MAXIMUM_PLACES = 50_000;
 /** Servers evict what nobody asks for; after so long nothing is assumed. */
 const HELD_MS = 60_000;
+/** A place is told again after this time, so that newcomers learn of it. */
+const TELL_AGAIN_MS = 20_000;
+/** Messages that carry a piece of news; more than one, since some are lost. */
+const NEWS_ROUNDS = 2;
+/** News in one message; keeps it below a kilobyte. */
+const NEWS_PER_MESSAGE = 150;
+/** News that wait for a message; the oldest are dropped beyond. */
+const MAXIMUM_NEWS = 3000;
+/** Hashes of server keys that are kept. */
+const MAXIMUM_SERVERS = 5000;
 
-function* listPrefixes(
+/** Lists the prefixes of a prompt for a model that end with one of its parts. */
+export function listPrefixes(
   parts: readonly PromptSegment[],
-): Generator<{key: string; tokens: number}> {
-  let key = '';
+  model = '',
+): PromptPrefix[] {
+  let key = model;
   let tokens = 0;
-  for (const part of parts) {
+  return parts.map(part => {
     key += `/${part.id}`;
     tokens += part.tokens;
-    yield {key, tokens};
-  }
+    return {hash: hashToUint32(key), tokens};
+  });
+}
+
+/** Combines the hashes of a server and a prefix to an unsigned integer. */
+function mergeHashes(server: number, prefix: number): number {
+  const mixed = Math.imul(server ^ (prefix >>> 15), 0x85ebca6b) + prefix;
+  return Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35) >>> 0;
 }
 
 /** Creates an empty memory. */
 export function createPrefixLocations(): PrefixLocations {
-  const seenAt = new LRUCache<string, number>({max: MAXIMUM_PREFIXES});
-  /** Part of each key; a server that lost its memory gets a new number. */
-  const generations = new Map<string, number>();
+  /** When a prefix was last used at a server, by their combined hash. */
+  const usedAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
+  /** When peers were last told of it. */
+  const toldAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
+  const serverHashes = new LRUCache<string, number>({max: MAXIMUM_SERVERS});
+  let news: Array<{place: number; rounds: number}> = [];
+
+  function hashServer(serverKey: string): number {
+    let hash = serverHashes.get(serverKey);
+    if (hash === undefined) {
+      hash = hashToUint32(serverKey);
+      serverHashes.set(serverKey, hash);
+    }
+    return hash;
+  }
 
-  function buildKey(serverId: string, prefix: string): string {
-    return `${serverId}#${generations.get(serverId) ?? 0}${prefix}`;
+  function addNews(place: number, now: number): void {
+    const told = toldAt.get(place);
+    if (told === undefined || now - told > TELL_AGAIN_MS) {
+      toldAt.set(place, now);
+      news.push({place, rounds: NEWS_ROUNDS});
+    }
   }
 
   return {
-    record: (serverId, parts, now) => {
-      for (const {key} of listPrefixes(parts)) {
-        seenAt.set(buildKey(serverId, key), now);
+    record: (serverKey, prefixes, now) => {
+      const server = hashServer(serverKey);
+      for (const {hash} of prefixes) {
+        const place = mergeHashes(server, hash);
+        usedAt.set(place, now);
+        addNews(place, now);
       }
     },
-    countHeldTokens: (serverId, parts, now) => {
+    countHeldTokens: (serverKey, prefixes, now) => {
+      const server = hashServer(serverKey);
       let held = 0;
-      for (const {key, tokens} of listPrefixes(parts)) {
-        const time = seenAt.get(buildKey(serverId, key));
+      for (const {hash, tokens} of prefixes) {
+        const time = usedAt.get(mergeHashes(server, hash));
         if (time === undefined || now - time > HELD_MS) {
           break;
         }
@@ -65,8 +120,22 @@
       }
       return held;
     },
-    forgetServer: serverId => {
-      generations.set(serverId, (generations.get(serverId) ?? 0) + 1);
+    takeNews: () => {
+      news = news.slice(-MAXIMUM_NEWS);
+      const taken = news.slice(0, NEWS_PER_MESSAGE);
+      taken.forEach(item => (item.rounds -= 1));
+      news = news.filter(item => item.rounds > 0);
+      return taken.map(item => item.place);
+    },
+    acceptNews: (places, isPassedOn, now) => {
+      for (const place of places) {
+        usedAt.set(place, now);
+        if (isPassedOn) {
+          addNews(place, now);
+        } else {
+          toldAt.set(place, now);
+        }
+      }
     },
   };
 }
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {createPrefixLocations} from '@buckthornbeam/decisions';
 import {createSystemClock} from '@buckthornbeam/shared';
 import type {RouterError} from '@buckthornbeam/shared';
 import {describe, it} from '@buckthornbeam/testing';
@@ -113,6 +114,7 @@
   const activity = createServerActivity();
   const connections = createServerConnections();
   const selection = createServerSelection({
+    locations: createPrefixLocations(),
     selfId: 'self',
     dataCentre: 'here',
     regions: {},
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -137,6 +137,7 @@
       digest: 1,
       confirmedAgeMs: Infinity,
       work: {s1: [1, 2, 3, 0.5] as [number, number, number, number]},
+      prefixPlaces: [0, 7, 0xffffffff],
       relayed: [{record: sender, ageMs: 5}],
     };
     const decoded = decodeGossip(encodeGossip(message))!;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 /** A gateway: one instance of the direct data path, with all its tasks. */
+import {createPrefixLocations} from '@buckthornbeam/decisions';
 import {
   createLogger,
   createSystemClock,
@@ -87,6 +88,7 @@
   });
   const loads = createServerLoads();
   const activity = createServerActivity();
+  const locations = createPrefixLocations();
   let isLeaving = false;
   let upkeep: NodeJS.Timeout | undefined;
 
@@ -154,6 +156,7 @@
     seedAddresses: settings.seeds,
     knowledge,
     loads,
+    locations,
     clock,
     logger,
     intervalMs: GOSSIP_MS,
@@ -182,6 +185,7 @@
     knowledge,
     loads,
     activity,
+    locations,
     readingTokensPerMs: settings.engines.readingTokensPerMs,
     shortPromptPart: settings.engines.shortPromptPart,
     listInstances,
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -16,6 +16,8 @@
   confirmedAgeMs: number;
   /** Work by server, see {@link WorkReport}. */
   work: WorkReport;
+  /** Places where prefixes were read, see `PrefixLocations`. */
+  prefixPlaces: readonly number[];
   relayed: readonly RelayedRecord[];
 }
 
@@ -40,16 +42,31 @@
     z.string(),
     z.tuple([z.number(), z.number(), z.number(), z.number()]),
   ),
+  prefixPlaces: z.string(),
   relayed: z.array(z.object({record: recordSchema, ageMs: z.number().min(0)})),
 });
 
 /** Stands for an age without bound, which JSON cannot hold, in milliseconds. */
 const UNKNOWN_AGE_MS = 1e9;
 
+/** Encodes unsigned 32-bit integers compactly. */
+function encodeIntegers(values: readonly number[]): string {
+  return Buffer.from(new Uint32Array(values).buffer).toString('base64');
+}
+
+function decodeIntegers(text: string): number[] {
+  const bytes = new Uint8Array(Buffer.from(text, 'base64'));
+  const length = Math.floor(bytes.length / Uint32Array.BYTES_PER_ELEMENT);
+  return [...new Uint32Array(bytes.buffer, 0, length)];
+}
+
 /** Encodes a message. */
 export function encodeGossip(message: GossipMessage): Buffer {
   const confirmedAgeMs = Math.min(UNKNOWN_AGE_MS, message.confirmedAgeMs);
-  return Buffer.from(JSON.stringify({...message, confirmedAgeMs}));
+  const prefixPlaces = encodeIntegers(message.prefixPlaces);
+  return Buffer.from(
+    JSON.stringify({...message, confirmedAgeMs, prefixPlaces}),
+  );
 }
 
 /** Decodes a datagram; undefined if it is no message. */
@@ -61,5 +78,9 @@
     return undefined;
   }
   const parsed = messageSchema.safeParse(value);
-  return parsed.success ? parsed.data : undefined;
+  if (!parsed.success) {
+    return undefined;
+  }
+  const {data} = parsed;
+  return {...data, prefixPlaces: decodeIntegers(data.prefixPlaces)};
 }
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -1,5 +1,6 @@
 /** Task that owns the datagram socket between the instances. */
 import {createSocket} from 'node:dgram';
+import type {PrefixLocations} from '@buckthornbeam/decisions';
 import {createGossipTable} from '@buckthornbeam/membership';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
 import {splitAddress} from '@buckthornbeam/shared';
@@ -16,6 +17,7 @@
   seedAddresses: readonly string[];
   knowledge: Knowledge;
   loads: ServerLoads;
+  locations: PrefixLocations;
   clock: Clock;
   logger: Logger;
   /** Interval of the rounds, in milliseconds. */
@@ -36,7 +38,8 @@
 
 /** Creates a task that has not started. */
 export function createGossipTask(options: GossipTaskOptions): GossipTask {
-  const {knowledge, loads, clock, logger, random = Math.random} = options;
+  const {knowledge, loads, locations, clock, logger} = options;
+  const {random = Math.random} = options;
   const self = options.describeSelf();
   const table = createGossipTable({
     selfId: self.instanceId,
@@ -56,6 +59,7 @@
       digest: knowledge.computeDigest(),
       confirmedAgeMs: Math.max(0, knowledge.computeAge(now)),
       work: loads.buildReport(now),
+      prefixPlaces: locations.takeNews(),
       relayed: table.pickRelayed(now, random),
     };
   }
@@ -103,6 +107,7 @@
       return;
     }
     table.receive(sender, message.relayed, now);
+    locations.acceptNews(message.prefixPlaces, !table.isFullMesh(), now);
     loads.receiveReport(sender.instanceId, message.work, now);
     knowledge.confirmByPeer(version, confirmedAgeMs, now);
     options.onPeerAhead(sender.gossipAddress, message);
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -2,14 +2,16 @@
 import {
   chooseShortPool,
   createColdLimit,
-  createPrefixLocations,
   createServerOutcomes,
+  listPrefixes,
   placeGeneration,
 } from '@buckthornbeam/decisions';
 import type {
   ColdTolerance,
   EnginePlacement,
   EngineRequest,
+  PrefixLocations,
+  PromptPrefix,
   ServerOutcome,
 } from '@buckthornbeam/decisions';
 import {hashToUint32} from '@buckthornbeam/shared';
@@ -33,6 +35,8 @@
   knowledge: Knowledge;
   loads: ServerLoads;
   activity: ServerActivity;
+  /** Where prompts were read, by this instance and its peers. */
+  locations: PrefixLocations;
   /** Prompt tokens that a model server reads in a millisecond. */
   readingTokensPerMs: number;
   /** Part of the model servers that is set apart for short prompts. */
@@ -90,6 +94,11 @@
   return facts.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
 
+/** Names the memory of a server; a server that starts again holds nothing. */
+function buildMemoryKey({server}: KnownServer): string {
+  return `${server.id}@${server.startedAt ?? 0}`;
+}
+
 function getMissedPart(priority: number): number {
   const rank = Math.min(Math.max(0, priority), MISSED_PARTS.length - 1);
   return MISSED_PARTS[Math.floor(rank)]!;
@@ -126,11 +135,11 @@
 export function createServerSelection(
   options: ServerSelectionOptions,
 ): ServerSelection {
-  const {knowledge, loads, activity, random = Math.random} = options;
+  const {knowledge, loads, activity, locations} = options;
+  const {random = Math.random} = options;
   const tokensPerMs = options.readingTokensPerMs;
   const outcomes = createServerOutcomes();
   const coldLimit = createColdLimit({selfId: options.selfId});
-  const locations = createPrefixLocations();
 
   function isInRegion(route: Route, server: BackendServer): boolean {
     const region = options.regions[server.dataCentre];
@@ -240,17 +249,20 @@
   function buildCandidate(
     known: KnownServer,
     service: Service,
-    facts: GenerationFacts,
+    prefixes: readonly PromptPrefix[],
     now: number,
   ) {
     const {server} = known;
-    const shared = facts.parts.slice(0, -1);
     return {
       serverId: server.id,
       slots: server.slots,
       memoryTokens: service.engine?.memoryTokens ?? Infinity,
       ...loads.getWork(server.id, now),
-      heldTokens: locations.countHeldTokens(server.id, shared, now),
+      heldTokens: locations.countHeldTokens(
+        buildMemoryKey(known),
+        prefixes,
+        now,
+      ),
       failureRate: outcomes.computeFailureRate(server.id, now),
     };
   }
@@ -263,6 +275,7 @@
     now: number,
   ): SelectedServer | undefined {
     const request = buildEngineRequest(facts, limits);
+    const prefixes = listPrefixes(facts.parts.slice(0, -1), facts.model);
     const all = knowledge.listServers(service.name, now);
     const shortPool = chooseShortPool({
       serverIds: all.map(known => known.server.id),
@@ -271,7 +284,7 @@
     let rest = [...servers];
     while (rest.length > 0) {
       const candidates = rest.map(known =>
-        buildCandidate(known, service, facts, now),
+        buildCandidate(known, service, prefixes, now),
       );
       const placement = placeGeneration(candidates, request, {
         tokensPerMs,
@@ -283,7 +296,7 @@
       }
       const known = rest.find(item => item.server.id === serverId)!;
       if (claimServer(known, service, now)) {
-        locations.record(serverId, facts.parts.slice(0, -1), now);
+        locations.record(buildMemoryKey(known), prefixes, now);
         const total = facts.promptTokens + request.outputTokens;
         const ticket = loads.add(serverId, unreadTokens, total, now);
         const {server} = known;
--- a/packages/membership/src/gossip_table.ts
+++ b/packages/membership/src/gossip_table.ts
@@ -64,6 +64,8 @@
   pickTargets(now: number, nextFloat: () => number): string[];
   /** Records to pass on with a message. */
   pickRelayed(now: number, nextFloat: () => number): RelayedRecord[];
+  /** Whether every round reaches every instance. */
+  isFullMesh(): boolean;
   /** Replaces the seeds after a change of the settings. */
   updateSeeds(addresses: readonly string[]): void;
 }
@@ -107,6 +109,10 @@
     return aliveMs + ALIVE_MS_PER_MEMBER * members.size;
   }
 
+  function isFullMesh(): boolean {
+    return members.size <= FANOUT;
+  }
+
   function isNewer(record: GossipRecord, known: GossipMember): boolean {
     return (
       record.incarnation === known.record.incarnation &&
@@ -199,7 +205,7 @@
       return [...targets];
     },
     pickRelayed: (now, nextFloat) =>
-      members.size <= FANOUT && now - lastArrivalAt > INTRODUCTION_MS
+      isFullMesh() && now - lastArrivalAt > INTRODUCTION_MS
         ? []
         : pickSample([...members.values()], RELAYED_RECORDS, nextFloat).map(
             member => ({
@@ -207,6 +213,7 @@
               ageMs: Math.max(0, now - member.seenAt),
             }),
           ),
+    isFullMesh,
     updateSeeds: addresses => {
       seeds = [...addresses];
     },
