feat(decisions): count own requests for peers where short prompts go

Half of the own requests in flight at a server now stand for each other instance as well, for short prompts only; long ones gather on purpose. Two tests of the burst, in fleets of 2 and 88.

--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -17,6 +17,7 @@
     slots: 64,
     memoryTokens: 500_000,
     inFlight: 0,
+    ownInFlight: 0,
     unreadTokens: 0,
     inFlightTokens: 0,
     readingPerMs: 0,
@@ -39,7 +40,11 @@
 }
 
 const IDS = ['a', 'b', 'c', 'd', 'e', 'f'];
-const NO_POOL = {tokensPerMs: TOKENS_PER_MS, shortPool: new Set<string>()};
+const NO_POOL = {
+  tokensPerMs: TOKENS_PER_MS,
+  shortPool: new Set<string>(),
+  instances: 8,
+};
 
 function findHome(request: EngineRequest): string {
   const idle = IDS.map(id => createCandidate(id));
@@ -94,6 +99,28 @@
     });
   });
 
+  describe('a burst of short prompts that all instances send at once', () => {
+    const short = createRequest({
+      promptTokens: 1400,
+      sharedTokens: 0,
+      sharedKey: '',
+    });
+    const returned = createCandidate('returned', {ownInFlight: 2});
+    const busy = createCandidate('busy', {inFlight: 60});
+
+    it('does not crowd the server whose reports are old', () => {
+      const options = {...NO_POOL, instances: 88};
+      const placed = placeGeneration([returned, busy], short, options)!;
+      assert.is(placed.serverId, 'busy');
+    });
+
+    it('goes to that server in a fleet whose reports are fresh', () => {
+      const options = {...NO_POOL, instances: 2};
+      const placed = placeGeneration([returned, busy], short, options)!;
+      assert.is(placed.serverId, 'returned');
+    });
+  });
+
   describe('a hot key that one server cannot bear', () => {
     it('moves to a server that holds the parts already', () => {
       const request = createRequest();
@@ -169,7 +196,7 @@
 
   describe('long prompts beside short ones', () => {
     const shortPool = chooseShortPool({serverIds: IDS, part: 0.2});
-    const options = {tokensPerMs: TOKENS_PER_MS, shortPool};
+    const options = {tokensPerMs: TOKENS_PER_MS, shortPool, instances: 8};
 
     it('go to separate servers', () => {
       const idle = IDS.map(id => createCandidate(id));
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -12,6 +12,8 @@
   memoryTokens: number;
   /** Requests in flight from all instances. */
   inFlight: number;
+  /** Requests in flight from this instance alone. */
+  ownInFlight: number;
   /** Prompt tokens that are still to be read there. */
   unreadTokens: number;
   /** Tokens of all requests in flight. */
@@ -44,6 +46,8 @@
   tokensPerMs: number;
   /** Servers set apart for short prompts. */
   shortPool: ReadonlySet<string>;
+  /** Instances that send requests, with this one. */
+  instances: number;
 }
 
 /** Where a generation goes. */
@@ -103,6 +107,11 @@
 const LATE_WEIGHT = 1;
 /** Cost of each millisecond beyond the time left, in milliseconds of waiting. */
 const MISSED_WEIGHT = 2;
+/**
+ * Part of the own requests in flight that every other instance is taken to have
+ * at the server as well, until its report says so.
+ */
+const PEER_PART = 0.5;
 /** Part of the reading of shared parts that a home is not charged for. */
 const HOME_DISCOUNT = 0.5;
 /** Part of a server's memory that requests in flight may fill. */
@@ -113,18 +122,38 @@
   return promptTokens <= SHORT_PROMPT_TOKENS;
 }
 
+/**
+ * Estimates the requests in flight for a short prompt. In a burst all instances
+ * prefer the server whose reports are the oldest; what this one sent there
+ * tells what the others have sent since. Long prompts gather on purpose.
+ */
+function estimateInFlight(
+  candidate: EngineCandidate,
+  request: EngineRequest,
+  instances: number,
+): number {
+  return isShortPrompt(request.promptTokens)
+    ? Math.max(
+        candidate.inFlight,
+        candidate.ownInFlight * (1 + PEER_PART * (instances - 1)),
+      )
+    : candidate.inFlight;
+}
+
 function computeCrowdingCost(
   candidate: EngineCandidate,
   request: EngineRequest,
+  instances: number,
 ): number {
-  const beyond = Math.max(0, candidate.inFlight + 1 - candidate.slots);
+  const inFlight = estimateInFlight(candidate, request, instances);
+  const beyond = Math.max(0, inFlight + 1 - candidate.slots);
   const tokens =
     candidate.inFlightTokens +
     countUnread(candidate, request) +
     request.outputTokens;
   const isFull = tokens > candidate.memoryTokens * MEMORY_BOUND;
   return (
-    candidate.inFlight * RUNNING_COST_MS +
+    inFlight * RUNNING_COST_MS +
     beyond * QUEUED_COST_MS +
     (isFull ? FULL_MEMORY_COST_MS : 0)
   );
@@ -200,7 +229,7 @@
   return (
     candidate.unreadTokens / tokensPerMs +
     (options.readingWeight * chargedTokens) / tokensPerMs +
-    computeCrowdingCost(candidate, request) +
+    computeCrowdingCost(candidate, request, options.instances) +
     computeLateness(request, times.readMs, times.endMs) +
     candidate.failureRate * FAILURE_COST_MS +
     computePoolCost(candidate, request, shortPool)
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -264,6 +264,7 @@
       slots: server.slots,
       memoryTokens: service.engine?.memoryTokens ?? Infinity,
       ...loads.getWork(server.id, now),
+      ownInFlight: loads.getOwnInFlight(server.id),
       heldTokens: locations.countHeldTokens(
         buildMemoryKey(known),
         prefixes,
@@ -301,6 +302,7 @@
       const placement = placeGeneration(candidates, request, {
         tokensPerMs,
         shortPool,
+        instances: options.listInstances(now).length,
       })!;
       const {serverId, unreadTokens, expectedEndMs} = placement;
       if (expectedEndMs > limits.leftMs * getMissedPart(limits.priority)) {
