feat(cli): explain a request from its log lines

An engineer on call had to read the fields of a request's line with the page of operations beside it, and to search the events around it by hand. The command puts the line into words, with the meaning of each attempt and the advice of the error, and lists the events of the instance and of the servers that were asked. The reading of logs moved out of the audit command, which uses it too.

--- a/packages/cli/src/commands/audit.ts
+++ b/packages/cli/src/commands/audit.ts
@@ -1,21 +1,19 @@
 /** `buckthornbeam audit`: the trail of changes from log lines. */
-import {createReadStream} from 'node:fs';
-import {createInterface} from 'node:readline';
-import {RouterError, parseFields} from '@buckthornbeam/shared';
+import {RouterError} from '@buckthornbeam/shared';
 import {ExitCode} from '../command.js';
 import type {Command, CommandArguments} from '../command.js';
+import {walkLogLines} from '../log_lines.js';
+import type {LogLine} from '../log_lines.js';
 import {printLine} from '../output.js';
 
-type Fields = Record<string, string>;
-
-/** Fields that stand in columns of their own. */
+/** LogLine that stand in columns of their own. */
 const COLUMN_FIELDS = new Set(['time', 'level', 'event', 'instance', 'change']);
 
 const TIME_WIDTH = 24;
 const INSTANCE_WIDTH = 16;
 const CHANGE_WIDTH = 20;
 
-function formatRecord(fields: Fields): string {
+function formatRecord(fields: LogLine): string {
   const rest = Object.entries(fields)
     .filter(([name]) => !COLUMN_FIELDS.has(name))
     .map(([name, value]) => `${name}=${value}`);
@@ -27,7 +25,7 @@
   ].join(' ');
 }
 
-type Filter = (fields: Fields) => boolean;
+type Filter = (fields: LogLine) => boolean;
 
 function parseTime(text: string, option: string): number {
   const time = Date.parse(text);
@@ -59,37 +57,6 @@
     fields['event'] === 'audit' && filters.every(filter => filter(fields));
 }
 
-function openInput(path: string | undefined): NodeJS.ReadableStream {
-  return path === undefined || path === '-'
-    ? process.stdin
-    : createReadStream(path);
-}
-
-async function walkRecords(
-  path: string | undefined,
-  isWanted: Filter,
-  print: (fields: Fields) => void,
-): Promise<void> {
-  const input = openInput(path);
-  const failed = new Promise<never>((_, reject) =>
-    input.once('error', error =>
-      reject(
-        new RouterError('usage', `the log cannot be read: ${error.message}`),
-      ),
-    ),
-  );
-  const lines = createInterface({input});
-  const walk = async () => {
-    for await (const line of lines) {
-      const fields = parseFields(line);
-      if (isWanted(fields)) {
-        print(fields);
-      }
-    }
-  };
-  await Promise.race([walk(), failed]);
-}
-
 export const auditCommand: Command = {
   summary: 'Print the trail of changes from log lines.',
   details: [
@@ -108,9 +75,13 @@
   run: async given => {
     const isWanted = createFilter(given);
     const print = given.flags.has('json')
-      ? (fields: Fields) => printLine(JSON.stringify(fields))
-      : (fields: Fields) => printLine(formatRecord(fields));
-    await walkRecords(given.positionals[0], isWanted, print);
+      ? (fields: LogLine) => printLine(JSON.stringify(fields))
+      : (fields: LogLine) => printLine(formatRecord(fields));
+    await walkLogLines(given.positionals[0], line => {
+      if (isWanted(line)) {
+        print(line);
+      }
+    });
     return ExitCode.OK;
   },
 };
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -9,6 +9,7 @@
 import {checkCommand} from './commands/check.js';
 import {diffCommand} from './commands/diff.js';
 import {entriesCommand} from './commands/entries.js';
+import {explainCommand} from './commands/explain.js';
 import {loadCommand} from './commands/load.js';
 import {serveCommand} from './commands/serve.js';
 import {statusCommand} from './commands/status.js';
@@ -23,6 +24,7 @@
   status: statusCommand,
   entries: entriesCommand,
   audit: auditCommand,
+  explain: explainCommand,
   load: loadCommand,
 };
 
