--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -307,12 +307,12 @@
     assert.is(locations.countHeldTokens('a', prefixes, 61_000), 0);
   });
 
-  describe('news for peers', () => {
+  describe('updates for peers', () => {
     it('let a peer count what another instance had read', () => {
       const locations = createPrefixLocations();
       const peer = createPrefixLocations();
       locations.record('a', prefixes, 0);
-      peer.acceptNews(locations.takeNews(), false, 1);
+      peer.acceptUpdates(locations.takeUpdates(), false, 1);
       assert.is(peer.countHeldTokens('a', prefixes, 2), 6000);
       assert.is(peer.countHeldTokens('b', prefixes, 2), 0);
     });
@@ -320,32 +320,32 @@
     it('are sent in two messages, since one may be lost', () => {
       const locations = createPrefixLocations();
       locations.record('a', prefixes, 0);
-      const sizes = [1, 2, 3].map(() => locations.takeNews().length);
+      const sizes = [1, 2, 3].map(() => locations.takeUpdates().length);
       assert.equal(sizes, [2, 2, 0]);
     });
 
     it('are passed on once in a large fleet and not at all in a small one', () => {
       const locations = createPrefixLocations();
       locations.record('a', prefixes, 0);
-      const news = locations.takeNews();
+      const updates = locations.takeUpdates();
       const small = createPrefixLocations();
-      small.acceptNews(news, false, 1);
-      assert.is(small.takeNews().length, 0);
+      small.acceptUpdates(updates, false, 1);
+      assert.is(small.takeUpdates().length, 0);
       const large = createPrefixLocations();
-      large.acceptNews(news, true, 1);
-      large.acceptNews(news, true, 2);
-      assert.is(large.takeNews().length, 2);
+      large.acceptUpdates(updates, true, 1);
+      large.acceptUpdates(updates, true, 2);
+      assert.is(large.takeUpdates().length, 2);
     });
 
     it('are repeated when a prefix is still in use, for newcomers', () => {
       const locations = createPrefixLocations();
       locations.record('a', prefixes, 0);
-      locations.takeNews();
-      locations.takeNews();
+      locations.takeUpdates();
+      locations.takeUpdates();
       locations.record('a', prefixes, 1000);
-      assert.is(locations.takeNews().length, 0);
+      assert.is(locations.takeUpdates().length, 0);
       locations.record('a', prefixes, 30_000);
-      assert.is(locations.takeNews().length, 2);
+      assert.is(locations.takeUpdates().length, 2);
     });
 
     it('keep messages small when many prefixes come at once', () => {
@@ -354,7 +354,7 @@
         const many = listPrefixes([{id: `p${index}`, tokens: 100}]);
         locations.record('a', many, 0);
       }
-      assert.ok(locations.takeNews().length <= 150);
+      assert.ok(locations.takeUpdates().length <= 150);
     });
   });
 });
--- a/packages/decisions/src/prefix_locations.ts
+++ b/packages/decisions/src/prefix_locations.ts
@@ -32,24 +32,28 @@
     prefixes: readonly PromptPrefix[],
     now: number,
   ): number;
-  /** Takes what the next message tells peers. */
-  takeNews(): number[];
-  /** Takes what a peer tells; in a large fleet it is passed on. */
-  acceptNews(news: readonly number[], isPassedOn: boolean, now: number): void;
+  /** Takes the places that the next message passes to peers. */
+  takeUpdates(): number[];
+  /** Accepts the places of a peer's message; a large fleet passes them on. */
+  acceptUpdates(
+    places: readonly number[],
+    isPassedOn: boolean,
+    now: number,
+  ): void;
 }
 
 /** Places of prefixes that are remembered, over all servers. */
 const MAXIMUM_PLACES = 50_000;
 /** Servers evict what nobody asks for; after so long nothing is assumed. */
 const HELD_MS = 60_000;
-/** A place is told again after this time, so that newcomers learn of it. */
-const TELL_AGAIN_MS = 20_000;
-/** Messages that carry a piece of news; more than one, since some are lost. */
-const NEWS_ROUNDS = 2;
-/** News in one message; keeps it below a kilobyte. */
-const NEWS_PER_MESSAGE = 150;
-/** News that wait for a message; the oldest are dropped beyond. */
-const MAXIMUM_NEWS = 3000;
+/** A place in use is sent again after this time, in milliseconds, for newcomers. */
+const REPEAT_UPDATE_MS = 20_000;
+/** Messages that carry a place; more than one, since datagrams are lost. */
+const UPDATE_ROUNDS = 2;
+/** Places in one message; 4 bytes each, so that it stays in one packet. */
+const UPDATES_PER_MESSAGE = 150;
+/** Places that wait for a message; the oldest are dropped beyond. */
+const MAXIMUM_UPDATES = 3000;
 /** Hashes of server keys that are kept. */
 const MAXIMUM_SERVERS = 5000;
 
@@ -67,20 +71,24 @@
   });
 }
 
+/** Odd multipliers of MurmurHash3's finalizer, which spread every bit. */
+const FIRST_MULTIPLIER = 0x85ebca6b;
+const SECOND_MULTIPLIER = 0xc2b2ae35;
+
 /** Combines the hashes of a server and a prefix to an unsigned integer. */
 function mergeHashes(server: number, prefix: number): number {
-  const mixed = Math.imul(server ^ (prefix >>> 15), 0x85ebca6b) + prefix;
-  return Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35) >>> 0;
+  const mixed = Math.imul(server ^ (prefix >>> 15), FIRST_MULTIPLIER) + prefix;
+  return Math.imul(mixed ^ (mixed >>> 13), SECOND_MULTIPLIER) >>> 0;
 }
 
 /** Creates an empty memory. */
 export function createPrefixLocations(): PrefixLocations {
   /** When a prefix was last used at a server, by their combined hash. */
   const usedAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
-  /** When peers were last told of it. */
-  const toldAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
+  /** When it was last sent to peers. */
+  const sentAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
   const serverHashes = new LRUCache<string, number>({max: MAXIMUM_SERVERS});
-  let news: Array<{place: number; rounds: number}> = [];
+  let updates: Array<{place: number; rounds: number}> = [];
 
   function hashServer(serverKey: string): number {
     let hash = serverHashes.get(serverKey);
@@ -91,11 +99,11 @@
     return hash;
   }
 
-  function addNews(place: number, now: number): void {
-    const told = toldAt.get(place);
-    if (told === undefined || now - told > TELL_AGAIN_MS) {
-      toldAt.set(place, now);
-      news.push({place, rounds: NEWS_ROUNDS});
+  function addUpdate(place: number, now: number): void {
+    const sent = sentAt.get(place);
+    if (sent === undefined || now - sent > REPEAT_UPDATE_MS) {
+      sentAt.set(place, now);
+      updates.push({place, rounds: UPDATE_ROUNDS});
     }
   }
 
@@ -105,7 +113,7 @@
       for (const {hash} of prefixes) {
         const place = mergeHashes(server, hash);
         usedAt.set(place, now);
-        addNews(place, now);
+        addUpdate(place, now);
       }
     },
     countHeldTokens: (serverKey, prefixes, now) => {
@@ -120,20 +128,20 @@
       }
       return held;
     },
-    takeNews: () => {
-      news = news.slice(-MAXIMUM_NEWS);
-      const taken = news.slice(0, NEWS_PER_MESSAGE);
+    takeUpdates: () => {
+      updates = updates.slice(-MAXIMUM_UPDATES);
+      const taken = updates.slice(0, UPDATES_PER_MESSAGE);
       taken.forEach(item => (item.rounds -= 1));
-      news = news.filter(item => item.rounds > 0);
+      updates = updates.filter(item => item.rounds > 0);
       return taken.map(item => item.place);
     },
-    acceptNews: (places, isPassedOn, now) => {
+    acceptUpdates: (places, isPassedOn, now) => {
       for (const place of places) {
         usedAt.set(place, now);
         if (isPassedOn) {
-          addNews(place, now);
+          addUpdate(place, now);
         } else {
-          toldAt.set(place, now);
+          sentAt.set(place, now);
         }
       }
     },
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -59,7 +59,7 @@
       digest: knowledge.computeDigest(),
       confirmedAgeMs: Math.max(0, knowledge.computeAge(now)),
       work: loads.buildReport(now),
-      prefixPlaces: locations.takeNews(),
+      prefixPlaces: locations.takeUpdates(),
       relayed: table.pickRelayed(now, random),
     };
   }
@@ -107,7 +107,7 @@
       return;
     }
     table.receive(sender, message.relayed, now);
-    locations.acceptNews(message.prefixPlaces, !table.isFullMesh(), now);
+    locations.acceptUpdates(message.prefixPlaces, !table.isFullMesh(), now);
     loads.receiveReport(sender.instanceId, message.work, now);
     knowledge.confirmByPeer(version, confirmedAgeMs, now);
     options.onPeerAhead(sender.gossipAddress, message);
