fix(router): count what others left on starting servers; spread owed minimum shares

It now takes the server's own report first, and leaves that much of the limit; without a report for half a second it goes by its own count. Ruled out: the lent shares, whose sums held. Test first: 'counts what the owner before it left running'.

--- a/packages/decisions/src/dispatch_order.ts
+++ b/packages/decisions/src/dispatch_order.ts
@@ -27,6 +27,7 @@
   choose(
     waiting: readonly QueuedRequest[],
     now: number,
+    isCrowded: boolean,
   ): DispatchChoice | undefined;
   /** Records a dispatch; `waiting` still holds the request. */
   record(request: QueuedRequest, waiting: readonly QueuedRequest[]): void;
@@ -112,6 +113,7 @@
   function chooseForMinimumShare(
     waiting: readonly QueuedRequest[],
     now: number,
+    isCrowded: boolean,
   ): QueuedRequest | undefined {
     const byClass = new Map<string, QueuedRequest[]>();
     for (const request of waiting) {
@@ -130,14 +132,15 @@
       next.set(className, request);
       needed.set(className, request.estimatedTokens);
     }
-    const isAnyUrgent = waiting.some(request => isUrgent(request, now));
-    const due = shares.findDue(needed, isAnyUrgent ? URGENT_SHARE_FACTOR : 1);
+    const mustYield =
+      isCrowded || waiting.some(request => isUrgent(request, now));
+    const due = shares.findDue(needed, mustYield ? URGENT_SHARE_FACTOR : 1);
     return due === undefined ? undefined : next.get(due);
   }
 
   return {
-    choose: (waiting, now) => {
-      const due = chooseForMinimumShare(waiting, now);
+    choose: (waiting, now, isCrowded) => {
+      const due = chooseForMinimumShare(waiting, now, isCrowded);
       if (due) {
         return {request: due, isForMinimumShare: true};
       }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,6 +12,8 @@
 export type {KeyClaim, KeyHome, KeyHomeOptions} from './key_home.js';
 export {createFairShare} from './fair_share.js';
 export type {FairShare, FairShareOptions} from './fair_share.js';
+export {createForeignWork} from './foreign_work.js';
+export type {ForeignWork} from './foreign_work.js';
 export {createLeadTime} from './lead_time.js';
 export type {LeadTime, LeadTimeOptions} from './lead_time.js';
 export {createMinimumShares} from './minimum_share.js';
--- a/packages/decisions/src/running_set.ts
+++ b/packages/decisions/src/running_set.ts
@@ -1,6 +1,9 @@
 /** The requests that run on one backend server. */
 import type {QueuedRequest} from './queued_request.js';
 
+/** No request is urgent enough to stop this tier. */
+const HIGHEST_TIER = 1;
+
 interface RunningRequest {
   request: QueuedRequest;
   /** Runs for the minimum share of its class, and is not to be stopped. */
@@ -17,6 +20,8 @@
   /** Estimated work of all running requests, in tokens. */
   countTokens(): number;
   countStopping(): number;
+  /** Requests that no other is urgent enough to stop. */
+  countFixed(): number;
   /** Estimated work of the requests that are being stopped, in tokens. */
   countStoppingTokens(): number;
   /**
@@ -75,6 +80,11 @@
     count: () => items.size,
     countTokens: () => tokens,
     countStopping: () => stopping,
+    countFixed: () =>
+      [...items.values()].filter(
+        ({request, isProtected}) =>
+          isProtected || request.tier === HIGHEST_TIER,
+      ).length,
     countStoppingTokens: () => stoppingTokens,
     stopLowest: tier => {
       const item = findLowest(tier);
--- a/packages/decisions/src/server_queue.ts
+++ b/packages/decisions/src/server_queue.ts
@@ -61,6 +61,11 @@
 
 const DEFAULT_MAXIMUM_QUEUED = 256;
 const DEFAULT_LEAD_MS = 150;
+/**
+ * Part of a limit that minimum shares leave to work that could be stopped, so
+ * that a burst of the highest tier finds room; from the overload test.
+ */
+const RESERVED_PART = 0.5;
 
 /** Orders by tier, then late requests before others, the latest first. */
 function compareImportance(
@@ -106,10 +111,15 @@
     queuedTokens -= request.estimatedTokens;
   }
 
+  /** Whether one more request that is not to be stopped leaves too little room. */
+  function isCrowded(): boolean {
+    return running.countFixed() + 1 > limit - Math.floor(limit * RESERVED_PART);
+  }
+
   function dispatchWaiting(now: number): QueueAction[] {
     const actions: QueueAction[] = [];
     while (running.count() < limit) {
-      const choice = order.choose(waiting, now);
+      const choice = order.choose(waiting, now, isCrowded());
       if (!choice || !hasRoom(choice.request)) {
         break;
       }
--- a/packages/router/__tests__/owner.spec.ts
+++ b/packages/router/__tests__/owner.spec.ts
@@ -30,6 +30,8 @@
 /** Answers of an engine that tests let go on or break. */
 function createFakeEngines() {
   const calls: EngineCall[] = [];
+  /** Requests that run on each engine, in its own report. */
+  const load = {running: 0};
   const release = new Map<string, () => void>();
   const client: EngineClient = {
     async *streamAnswer(call) {
@@ -42,9 +44,15 @@
         call.signal.addEventListener('abort', cancelCall);
       });
     },
+    fetchLoad: async () => ({
+      running: load.running,
+      waiting: 0,
+      completed: 0,
+      incarnation: 'first',
+    }),
     close: async () => {},
   };
-  return {client, calls, finish: (id: string) => release.get(id)!()};
+  return {client, calls, load, finish: (id: string) => release.get(id)!()};
 }
 
 function setServerState(set: FileSet, state: 'in' | 'out'): FileSet {
@@ -209,6 +217,19 @@
     await second.ended;
   });
 
+  it('counts what the owner before it left running on a starting server', async () => {
+    const {engines, owner, dispatch} = setUp();
+    engines.load.running = 3;
+    const all = ['a', 'b'].map(id => dispatch(id));
+    await settle();
+    assert.is(engines.calls.length, 1, 'the starting limit is 4');
+    assert.is(owner.listLoads()[0]!.limit, 1);
+    engines.finish('a');
+    await settle();
+    engines.finish('b');
+    await Promise.all(all.map(item => item.ended));
+  });
+
   it('says not run for a request that was cancelled in the queue', async () => {
     const {engines, state, dispatch} = setUp();
     state.share = 1;
--- a/packages/router/src/engine_client.ts
+++ b/packages/router/src/engine_client.ts
@@ -34,8 +34,20 @@
   idleTimeoutMs: number;
 }
 
+/** A load report of one engine; it may be seconds old. */
+export interface LoadReport {
+  running: number;
+  waiting: number;
+  /** Requests that were finished since the engine's start. */
+  completed: number;
+  /** Differs after every start; empty where the engine does not tell. */
+  incarnation: string;
+}
+
 /** Streams answers from engines. */
 export interface EngineClient {
+  /** Fetches a load report. @throws RouterError `server_unreachable` */
+  fetchLoad(address: string, timeoutMs: number): Promise<LoadReport>;
   /** Yields chunks up to the terminator; throws a {@link RouterError}. */
   streamAnswer(call: EngineCall): AsyncGenerator<EngineChunk>;
   close(): Promise<void>;
@@ -88,6 +100,16 @@
   }
 }
 
+function parseReport(value: unknown): LoadReport {
+  const fields = value as Record<string, unknown>;
+  return {
+    running: Number(fields['running'] ?? 0),
+    waiting: Number(fields['waiting'] ?? 0),
+    completed: Number(fields['completed'] ?? 0),
+    incarnation: String(fields['startedAt'] ?? ''),
+  };
+}
+
 /** Creates a client that keeps connections to the engines open. */
 export function createEngineClient(): EngineClient {
   const agent = new Agent({connect: {timeout: CONNECT_TIMEOUT_MS}});
@@ -135,7 +157,26 @@
     );
   }
 
+  async function fetchLoad(
+    address: string,
+    timeoutMs: number,
+  ): Promise<LoadReport> {
+    const response = await request(`http://${address}/load`, {
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+    });
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      throw new RouterError(
+        'server_unreachable',
+        `the engine answered ${response.statusCode} to a load report`,
+      );
+    }
+    return parseReport(await response.body.json());
+  }
+
   return {
+    fetchLoad,
     async *streamAnswer(call) {
       const attempt = createAttemptRecord();
       const response = await openStream(call, attempt);
--- a/packages/router/src/tasks/load_reports.ts
+++ b/packages/router/src/tasks/load_reports.ts
@@ -1,23 +1,28 @@
 /** Polls the load that engines report about themselves. */
-import {request} from 'undici';
 import type {BackendServer} from '@buckthornbeam/config';
-
-/** A load report of one engine; it may be seconds old. */
-export interface LoadReport {
-  running: number;
-  waiting: number;
-  /** Requests that were finished since the engine's start. */
-  completed: number;
-  /** Differs after every start; empty where the engine does not tell. */
-  incarnation: string;
-}
+import type {Logger} from '@buckthornbeam/shared';
+import type {EngineClient, LoadReport} from '../engine_client.js';
 
 /** Options of {@link createLoadReports}. */
 export interface LoadReportsOptions {
   /** Time between two reports of one engine, in milliseconds. */
   periodMs: number;
+  engines: EngineClient;
+  logger: Logger;
   listServers: () => BackendServer[];
-  onReport: (server: BackendServer, report: LoadReport) => void;
+  /** Requests of this instance that run on a server. */
+  countOwn: (serverId: string) => number;
+  /**
+   * `ownRunning` are requests of this instance that the report counts for sure:
+   * what was dispatched while it was fetched may not have arrived before it.
+   */
+  onReport: (
+    server: BackendServer,
+    report: LoadReport,
+    ownRunning: number,
+  ) => void;
+  /** The server gave no report. */
+  onMissing: (server: BackendServer) => void;
 }
 
 /** The polling of load reports. */
@@ -28,19 +33,9 @@
   fetchReport(server: BackendServer): Promise<void>;
 }
 
-function parseReport(value: unknown): LoadReport {
-  const fields = value as Record<string, unknown>;
-  return {
-    running: Number(fields['running'] ?? 0),
-    waiting: Number(fields['waiting'] ?? 0),
-    completed: Number(fields['completed'] ?? 0),
-    incarnation: String(fields['startedAt'] ?? ''),
-  };
-}
-
 /** Creates polling that has not started. */
 export function createLoadReports(options: LoadReportsOptions): LoadReports {
-  const {periodMs, listServers, onReport} = options;
+  const {periodMs, listServers, countOwn, engines, logger} = options;
   const polling = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
 
@@ -49,18 +44,16 @@
       return;
     }
     polling.add(server.id);
+    const ownBefore = countOwn(server.id);
     try {
-      const response = await request(`http://${server.address}/load`, {
-        headersTimeout: periodMs,
-        bodyTimeout: periodMs,
-      });
-      if (response.statusCode === 200) {
-        onReport(server, parseReport(await response.body.json()));
-      } else {
-        await response.body.dump();
-      }
-    } catch {
+      const report = await engines.fetchLoad(server.address, periodMs);
+      const ownRunning = Math.min(ownBefore, countOwn(server.id));
+      options.onReport(server, report, ownRunning);
+    } catch (error) {
       // A missing report is no proof of a failure: answers tell.
+      const reason = (error as Error).message;
+      logger.debug('load_report_missing', {server: server.id, reason});
+      options.onMissing(server);
     } finally {
       polling.delete(server.id);
     }
--- a/packages/router/src/tasks/owned_server.ts
+++ b/packages/router/src/tasks/owned_server.ts
@@ -1,11 +1,13 @@
 /** One backend server as its owner keeps it: queue, limit and speed. */
 import type {BackendServer, FileSet} from '@buckthornbeam/config';
 import {
+  createForeignWork,
   createLeadTime,
   createServerLimit,
   createServerQueue,
 } from '@buckthornbeam/decisions';
 import type {
+  ForeignWork,
   LimitMessage,
   QueueAction,
   QueueMessage,
@@ -26,6 +28,8 @@
 /** State of an owned server; its methods return what has to be done. */
 export interface OwnedServer {
   server: BackendServer;
+  /** Work that other instances still have at the server. */
+  readonly foreignWork: ForeignWork;
   /** Applies a message to the queue, under the limit of this moment. */
   stepQueue(message: QueueMessage, now: number): QueueAction[];
   /** Applies what happened at the server to its limit. */
@@ -62,11 +66,14 @@
     getMinimumShare: name => getFileSet().classes.get(name)?.minimumShare ?? 0,
   });
   const leadTime = createLeadTime(LEAD_BOUNDS);
+  const foreignWork = createForeignWork();
   let msPerToken = 0;
 
   function computeLimit(): number {
-    const {limit} = serverLimit;
-    return Math.min(limit, getShare(server.id, limit));
+    const {limit, phase} = serverLimit;
+    const shared = Math.min(limit, getShare(server.id, limit));
+    // A warm server bears a few more; a late report would take them away.
+    return phase === 'serving' ? shared : foreignWork.computeRoom(shared);
   }
 
   function estimateWaitMs(): number {
@@ -79,6 +86,7 @@
 
   return {
     server,
+    foreignWork,
     stepQueue: (message, now) => {
       if (message.type === 'drain') {
         return queue.step(message, now);
--- a/packages/router/src/tasks/owner.ts
+++ b/packages/router/src/tasks/owner.ts
@@ -11,12 +11,11 @@
 } from '@buckthornbeam/shared';
 import type {Clock, ErrorCode, Logger, Metrics} from '@buckthornbeam/shared';
 import {createChannel} from '../channel.js';
-import type {EngineClient} from '../engine_client.js';
+import type {EngineClient, LoadReport} from '../engine_client.js';
 import {runAttempt} from './attempt_run.js';
 import type {Attempt, AttemptReport} from './attempt_run.js';
 import {makeFailure} from './dispatch_events.js';
 import {createLoadReports} from './load_reports.js';
-import type {LoadReport} from './load_reports.js';
 import {createOwnedServer} from './owned_server.js';
 import type {OwnedServer} from './owned_server.js';
 import {isInService} from './placer.js';
@@ -79,11 +78,26 @@
   let ticker: NodeJS.Timeout | undefined;
   const reports = createLoadReports({
     periodMs: REPORT_PERIOD_MS,
+    engines,
+    logger,
     listServers: listReportedServers,
-    onReport: ({id}, report) => {
-      const {incarnation, completed} = report;
+    countOwn: id => owned.get(id)?.countRunning() ?? 0,
+    onReport: ({id}, report, ownRunning) => {
+      const {incarnation, completed, running, waiting} = report;
       engineReports.set(id, report);
-      owned.get(id)?.stepLimit({type: 'report', incarnation, completed});
+      const target = owned.get(id);
+      target?.foreignWork.recordReport(running + waiting, ownRunning);
+      target?.stepLimit({type: 'report', incarnation, completed});
+      if (target) {
+        checkServer(target);
+      }
+    },
+    onMissing: ({id}) => {
+      const target = owned.get(id);
+      target?.foreignWork.recordMissing();
+      if (target) {
+        checkServer(target);
+      }
     },
   });
 
