--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,5 +26,14 @@
   StoreReading,
 } from './ports.js';
 export {selectEndToEnd} from './relay/caller_answer.js';
+export type {KnownServer} from './state/knowledge.js';
+export {createServerActivity} from './state/server_activity.js';
+export {createServerLoads} from './state/server_loads.js';
+export type {ServerLoads} from './state/server_loads.js';
+export {createServerSelection} from './state/server_selection.js';
+export type {
+  SelectedServer,
+  ServerSelection,
+} from './state/server_selection.js';
 export {parseGatewaySettings} from './settings.js';
 export type {GatewaySettings} from './settings.js';
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -21,18 +21,25 @@
   RequestFacts,
   Route,
   Service,
+  ServiceConfiguration,
 } from '../model.js';
 import type {KnownServer, Knowledge} from './knowledge.js';
 import type {ServerActivity} from './server_activity.js';
 import type {ServerLoads, WorkTicket} from './server_loads.js';
 
+/** What a selection asks of the instance's belief. */
+export interface SelectionKnowledge
+  extends Pick<Knowledge, 'listServers' | 'listServerIds'> {
+  getConfiguration(): Pick<ServiceConfiguration, 'services'> | undefined;
+}
+
 /** Options of {@link createServerSelection}. */
 export interface ServerSelectionOptions {
   selfId: string;
   dataCentre: string;
   /** Regions by data centre. */
   regions: Readonly<Record<string, string>>;
-  knowledge: Knowledge;
+  knowledge: SelectionKnowledge;
   loads: ServerLoads;
   activity: ServerActivity;
   /** Where prompts were read, by this instance and its peers. */
