feat(decisions): copy shared parts from a server that has read them

Cause: a prompt whose home was behind had its shared parts read again elsewhere; what was only sent to a server counted, here and at peers, as read there. Places are now told to peers when the first event shows that the prompt was read, and the chosen server is told from which other one to copy.

--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -22,6 +22,7 @@
     inFlightTokens: 0,
     readingPerMs: 0,
     heldTokens: 0,
+    readTokens: 0,
     failureRate: 0,
     ...changes,
   };
@@ -99,6 +100,58 @@
     });
   });
 
+  describe('a home that is behind, whose parts other servers can copy', () => {
+    const request = createRequest();
+    const home = findHome(request);
+    const read = {heldTokens: 13_000, readTokens: 13_000};
+    const copying = {...NO_POOL, copiedTokensPerMs: 2500};
+
+    function listCandidates(changes: Partial<EngineCandidate>) {
+      return IDS.map(id => createCandidate(id, id === home ? changes : {}));
+    }
+
+    it('passes its parts to an idle server', () => {
+      const candidates = listCandidates({unreadTokens: 200_000, ...read});
+      const placement = placeGeneration(candidates, request, copying)!;
+      assert.is.not(placement.serverId, home);
+      assert.is(placement.copySourceId, home);
+      assert.is(placement.copiedTokens, 13_000);
+      assert.is(placement.unreadTokens, 4000);
+    });
+
+    it('keeps them where servers cannot copy', () => {
+      const candidates = listCandidates({unreadTokens: 200_000, ...read});
+      const placement = placeGeneration(candidates, request, NO_POOL)!;
+      assert.is(placement.copySourceId, undefined);
+      assert.is(placement.copiedTokens, 0);
+    });
+
+    it('is no source before it has read them', () => {
+      const unread = listCandidates({
+        unreadTokens: 200_000,
+        heldTokens: 13_000,
+      });
+      const placement = placeGeneration(unread, request, copying)!;
+      assert.is(placement.copySourceId, undefined);
+    });
+
+    it('keeps its prompts while the wait there is short', () => {
+      const behind = listCandidates({unreadTokens: 8000, ...read});
+      assert.is(placeGeneration(behind, request, copying)!.serverId, home);
+    });
+
+    it('does not pass on what is read faster than it is copied', () => {
+      const small = createRequest({promptTokens: 4300, sharedTokens: 300});
+      const held = listCandidates({
+        unreadTokens: 200_000,
+        heldTokens: 300,
+        readTokens: 300,
+      });
+      const placement = placeGeneration(held, small, copying)!;
+      assert.is(placement.copySourceId, undefined);
+    });
+  });
+
   describe('a burst of short prompts that all instances send at once', () => {
     const short = createRequest({
       promptTokens: 1400,
@@ -287,46 +340,61 @@
 
   it('count the longest prefix that was read', () => {
     const locations = createPrefixLocations();
-    locations.record('a', prefixes, 0);
-    assert.is(locations.countHeldTokens('a', prefixes, 1), 6000);
+    locations.recordRead('a', prefixes, 0);
+    assert.is(locations.countExpectedTokens('a', prefixes, 1), 6000);
     const branch = listPrefixes([parts[0]!, {id: 'p3', tokens: 100}]);
-    assert.is(locations.countHeldTokens('a', branch, 1), 2000);
-    assert.is(locations.countHeldTokens('b', prefixes, 1), 0);
+    assert.is(locations.countExpectedTokens('a', branch, 1), 2000);
+    assert.is(locations.countExpectedTokens('b', prefixes, 1), 0);
   });
 
   it('tell the models of prompts apart', () => {
     const locations = createPrefixLocations();
-    locations.record('a', listPrefixes(parts, 'm1'), 0);
+    locations.recordRead('a', listPrefixes(parts, 'm1'), 0);
     const other = listPrefixes(parts, 'm2');
-    assert.is(locations.countHeldTokens('a', other, 1), 0);
+    assert.is(locations.countExpectedTokens('a', other, 1), 0);
   });
 
   it('forget what was read long ago', () => {
     const locations = createPrefixLocations();
-    locations.record('a', prefixes, 0);
-    assert.is(locations.countHeldTokens('a', prefixes, 61_000), 0);
+    locations.recordRead('a', prefixes, 0);
+    assert.is(locations.countExpectedTokens('a', prefixes, 61_000), 0);
+  });
+
+  it('expect what was sent, but only what was read can be copied', () => {
+    const locations = createPrefixLocations();
+    locations.recordSent('a', prefixes, 0);
+    assert.is(locations.countExpectedTokens('a', prefixes, 1), 6000);
+    assert.is(locations.countReadTokens('a', prefixes, 1), 0);
+    locations.recordRead('a', prefixes, 2);
+    assert.is(locations.countReadTokens('a', prefixes, 3), 6000);
   });
 
   describe('updates for peers', () => {
+    it('say nothing of prompts that no server has read yet', () => {
+      const locations = createPrefixLocations();
+      locations.recordSent('a', prefixes, 0);
+      assert.equal(locations.takeUpdates(), []);
+    });
+
     it('let a peer count what another instance had read', () => {
       const locations = createPrefixLocations();
       const peer = createPrefixLocations();
-      locations.record('a', prefixes, 0);
+      locations.recordRead('a', prefixes, 0);
       peer.acceptUpdates(locations.takeUpdates(), false, 1);
-      assert.is(peer.countHeldTokens('a', prefixes, 2), 6000);
-      assert.is(peer.countHeldTokens('b', prefixes, 2), 0);
+      assert.is(peer.countExpectedTokens('a', prefixes, 2), 6000);
+      assert.is(peer.countExpectedTokens('b', prefixes, 2), 0);
     });
 
     it('are sent in two messages, since one may be lost', () => {
       const locations = createPrefixLocations();
-      locations.record('a', prefixes, 0);
+      locations.recordRead('a', prefixes, 0);
       const sizes = [1, 2, 3].map(() => locations.takeUpdates().length);
       assert.equal(sizes, [2, 2, 0]);
     });
 
     it('are passed on once in a large fleet and not at all in a small one', () => {
       const locations = createPrefixLocations();
-      locations.record('a', prefixes, 0);
+      locations.recordRead('a', prefixes, 0);
       const updates = locations.takeUpdates();
       const small = createPrefixLocations();
       small.acceptUpdates(updates, false, 1);
@@ -339,12 +407,12 @@
 
     it('are repeated when a prefix is still in use, for newcomers', () => {
       const locations = createPrefixLocations();
-      locations.record('a', prefixes, 0);
+      locations.recordRead('a', prefixes, 0);
       locations.takeUpdates();
       locations.takeUpdates();
-      locations.record('a', prefixes, 1000);
+      locations.recordRead('a', prefixes, 1000);
       assert.is(locations.takeUpdates().length, 0);
-      locations.record('a', prefixes, 30_000);
+      locations.recordRead('a', prefixes, 30_000);
       assert.is(locations.takeUpdates().length, 2);
     });
 
@@ -352,7 +420,7 @@
       const locations = createPrefixLocations();
       for (let index = 0; index < 1000; index += 1) {
         const many = listPrefixes([{id: `p${index}`, tokens: 100}]);
-        locations.record('a', many, 0);
+        locations.recordRead('a', many, 0);
       }
       assert.ok(locations.takeUpdates().length <= 150);
     });
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -20,8 +20,10 @@
   inFlightTokens: number;
   /** Prompt tokens that were sent to it lately, per millisecond. */
   readingPerMs: number;
-  /** Tokens of the request's prompt that it is known to hold. */
+  /** Tokens of the request's prompt that it holds, or will by its turn. */
   heldTokens: number;
+  /** Tokens of the request's prompt that it is known to have read. */
+  readTokens: number;
   /** Recent share of failed requests, from 0 to 1. */
   failureRate: number;
 }
@@ -44,6 +46,11 @@
 export interface PlacementOptions {
   /** Prompt tokens that a server reads in a millisecond. */
   tokensPerMs: number;
+  /**
+   * Tokens of memory that one server copies from another in a millisecond; 0
+   * where servers cannot copy.
+   */
+  copiedTokensPerMs?: number;
   /** Servers set apart for short prompts. */
   shortPool: ReadonlySet<string>;
   /** Instances that send requests, with this one. */
@@ -55,6 +62,10 @@
   serverId: string;
   /** Tokens that the server has to read. */
   unreadTokens: number;
+  /** Server from which it first copies what that one holds of the prompt. */
+  copySourceId: string | undefined;
+  /** Tokens that are copied. */
+  copiedTokens: number;
   /** The server is the one on which prompts with these parts gather. */
   isHome: boolean;
   /** Expected time until the prompt is read, in milliseconds. */
@@ -114,6 +125,13 @@
 const PEER_PART = 0.5;
 /** Part of the reading of shared parts that a home is not charged for. */
 const HOME_DISCOUNT = 0.5;
+/**
+ * Part of the cost of reading that a copy costs. It takes hardly any time, but
+ * traffic between servers, and memory at both that other prompts have to yield.
+ */
+const COPYING_PART = 0.25;
+/** Fewer tokens are read faster than a copy is set up. */
+const LEAST_COPIED_TOKENS = 512;
 /** Part of a server's memory that requests in flight may fill. */
 const MEMORY_BOUND = 0.85;
 
@@ -268,6 +286,43 @@
   return rankByRendezvous(request.sharedKey, ids)[0];
 }
 
+/** What a server copies from another before it reads. */
+interface MemoryCopy {
+  sourceId: string | undefined;
+  tokens: number;
+}
+
+const NO_COPY: MemoryCopy = {sourceId: undefined, tokens: 0};
+
+/** Finds the server that has read most of the shared parts. */
+function findCopySource(
+  candidates: readonly EngineCandidate[],
+): EngineCandidate | undefined {
+  let best: EngineCandidate | undefined;
+  for (const candidate of candidates) {
+    if (!best || candidate.readTokens > best.readTokens) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+/** Plans what a server copies of a prompt that another holds more of. */
+function planCopy(
+  candidate: EngineCandidate,
+  request: EngineRequest,
+  source: EngineCandidate | undefined,
+): MemoryCopy {
+  if (!source || source === candidate) {
+    return NO_COPY;
+  }
+  const held = Math.min(candidate.heldTokens, request.sharedTokens);
+  const tokens = Math.min(source.readTokens, request.sharedTokens) - held;
+  return tokens >= LEAST_COPIED_TOKENS
+    ? {sourceId: source.serverId, tokens}
+    : NO_COPY;
+}
+
 /** Finds the server of least cost. */
 function findCheapest(
   candidates: readonly EngineCandidate[],
@@ -275,14 +330,20 @@
   home: string | undefined,
   options: PlacementOptions & {readingWeight: number},
 ): EnginePlacement | undefined {
-  const {tokensPerMs} = options;
+  const {tokensPerMs, copiedTokensPerMs = 0} = options;
+  const source = copiedTokensPerMs > 0 ? findCopySource(candidates) : undefined;
   let best: (EnginePlacement & {cost: number}) | undefined;
   for (const candidate of candidates) {
     const {serverId} = candidate;
     const isHome = serverId === home;
-    const unreadTokens = countUnread(candidate, request);
-    const charged = countChargedTokens(unreadTokens, request, isHome);
-    const readMs = (candidate.unreadTokens + unreadTokens) / tokensPerMs;
+    const copy = planCopy(candidate, request, source);
+    const unreadTokens = countUnread(candidate, request) - copy.tokens;
+    const charged =
+      countChargedTokens(unreadTokens, request, isHome) +
+      copy.tokens * COPYING_PART;
+    const copyMs = copy.tokens > 0 ? copy.tokens / copiedTokensPerMs : 0;
+    const readMs =
+      copyMs + (candidate.unreadTokens + unreadTokens) / tokensPerMs;
     const endMs =
       readMs + request.outputTokens * estimateTokenMs(candidate, tokensPerMs);
     const times = {readMs, endMs};
@@ -291,6 +352,8 @@
       best = {
         serverId,
         unreadTokens,
+        copySourceId: copy.sourceId,
+        copiedTokens: copy.tokens,
         isHome,
         expectedReadMs: readMs,
         expectedEndMs: endMs,
--- a/packages/decisions/src/prefix_locations.ts
+++ b/packages/decisions/src/prefix_locations.ts
@@ -20,14 +20,26 @@
 
 /** Remembers where prompts were read. */
 export interface PrefixLocations {
-  /** A server has read, or is about to read, all these prefixes. */
-  record(
+  /** A server is about to read all these prefixes. */
+  recordSent(
     serverKey: string,
     prefixes: readonly PromptPrefix[],
     now: number,
   ): void;
-  /** Tokens of the prompt that the server is likely to hold. */
-  countHeldTokens(
+  /** A server has read all these prefixes. */
+  recordRead(
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
+    now: number,
+  ): void;
+  /** Tokens of the prompt that the server holds, or will by its turn. */
+  countExpectedTokens(
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
+    now: number,
+  ): number;
+  /** Tokens of the prompt that the server is likely to hold by now. */
+  countReadTokens(
     serverKey: string,
     prefixes: readonly PromptPrefix[],
     now: number,
@@ -83,8 +95,10 @@
 
 /** Creates an empty memory. */
 export function createPrefixLocations(): PrefixLocations {
-  /** When a prefix was last used at a server, by their combined hash. */
-  const usedAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
+  /** When a prefix was last sent to a server, by their combined hash. */
+  const sentTo = new LRUCache<number, number>({max: MAXIMUM_PLACES});
+  /** When it was last read there. */
+  const readAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
   /** When it was last sent to peers. */
   const sentAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
   const serverHashes = new LRUCache<string, number>({max: MAXIMUM_SERVERS});
@@ -99,6 +113,40 @@
     return hash;
   }
 
+  function listPlaces(
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
+  ): number[] {
+    const server = hashServer(serverKey);
+    return prefixes.map(({hash}) => mergeHashes(server, hash));
+  }
+
+  function isRecent(
+    times: LRUCache<number, number>,
+    place: number,
+    now: number,
+  ): boolean {
+    const time = times.get(place);
+    return time !== undefined && now - time <= HELD_MS;
+  }
+
+  /** Counts tokens up to the first prefix that is not there. */
+  function countTokens(
+    serverKey: string,
+    prefixes: readonly PromptPrefix[],
+    isThere: (place: number) => boolean,
+  ): number {
+    const server = hashServer(serverKey);
+    let held = 0;
+    for (const {hash, tokens} of prefixes) {
+      if (!isThere(mergeHashes(server, hash))) {
+        break;
+      }
+      held = tokens;
+    }
+    return held;
+  }
+
   function addUpdate(place: number, now: number): void {
     const sent = sentAt.get(place);
     if (sent === undefined || now - sent > REPEAT_UPDATE_MS) {
@@ -108,26 +156,25 @@
   }
 
   return {
-    record: (serverKey, prefixes, now) => {
-      const server = hashServer(serverKey);
-      for (const {hash} of prefixes) {
-        const place = mergeHashes(server, hash);
-        usedAt.set(place, now);
-        addUpdate(place, now);
+    recordSent: (serverKey, prefixes, now) => {
+      for (const place of listPlaces(serverKey, prefixes)) {
+        sentTo.set(place, now);
       }
     },
-    countHeldTokens: (serverKey, prefixes, now) => {
-      const server = hashServer(serverKey);
-      let held = 0;
-      for (const {hash, tokens} of prefixes) {
-        const time = usedAt.get(mergeHashes(server, hash));
-        if (time === undefined || now - time > HELD_MS) {
-          break;
-        }
-        held = tokens;
+    recordRead: (serverKey, prefixes, now) => {
+      for (const place of listPlaces(serverKey, prefixes)) {
+        readAt.set(place, now);
+        addUpdate(place, now);
       }
-      return held;
     },
+    countExpectedTokens: (serverKey, prefixes, now) =>
+      countTokens(
+        serverKey,
+        prefixes,
+        place => isRecent(readAt, place, now) || isRecent(sentTo, place, now),
+      ),
+    countReadTokens: (serverKey, prefixes, now) =>
+      countTokens(serverKey, prefixes, place => isRecent(readAt, place, now)),
     takeUpdates: () => {
       updates = updates.slice(-MAXIMUM_UPDATES);
       const taken = updates.slice(0, UPDATES_PER_MESSAGE);
@@ -137,7 +184,7 @@
     },
     acceptUpdates: (places, isPassedOn, now) => {
       for (const place of places) {
-        usedAt.set(place, now);
+        readAt.set(place, now);
         if (isPassedOn) {
           addUpdate(place, now);
         } else {
--- a/packages/experiment/src/cases.ts
+++ b/packages/experiment/src/cases.ts
@@ -13,6 +13,8 @@
   readingTokensPerMs: 56.6,
   chunkTokens: 2048,
   tokensPerEvent: 7,
+  copiedTokensPerMs: 2509,
+  copySetUpMs: 5,
 };
 
 /** A long document that several callers ask about. */
--- a/packages/experiment/src/engine_model.ts
+++ b/packages/experiment/src/engine_model.ts
@@ -24,6 +24,10 @@
   chunkTokens: number;
   /** Output tokens in one event of a stream. */
   tokensPerEvent: number;
+  /** Tokens copied from another server in a millisecond; 0 for none. */
+  copiedTokensPerMs: number;
+  /** Time in which a copy is set up, in milliseconds. */
+  copySetUpMs: number;
 }
 
 /** One part of a prompt. */
@@ -39,6 +43,8 @@
   urgency: number;
   parts: readonly ModelPart[];
   outputTokens: number;
+  /** Server that is asked for shared parts first. */
+  copySource?: EngineModel;
   onEvent: (isLast: boolean) => void;
   /** The server crashed. */
   onBroken: () => void;
@@ -47,6 +53,7 @@
 /** What a server has done. */
 export interface EngineTotals {
   readTokens: number;
+  copiedTokens: number;
   preemptions: number;
 }
 
@@ -54,6 +61,8 @@
 export interface EngineModel {
   readonly totals: Readonly<EngineTotals>;
   readonly isUp: boolean;
+  /** Whether a part is in memory. */
+  holds(key: string): boolean;
   /** False if the server is down or its queue is full. */
   submit(job: EngineJob): boolean;
   /** Drops a request whose caller has left. */
@@ -95,7 +104,7 @@
 /** Creates a server that is up and holds nothing. */
 export function createEngineModel(options: EngineModelOptions): EngineModel {
   const {profile, agenda, slowness = 1} = options;
-  const totals: EngineTotals = {readTokens: 0, preemptions: 0};
+  const totals: EngineTotals = {readTokens: 0, copiedTokens: 0, preemptions: 0};
   const parts = new Map<string, CachedPart>();
   let waiting: RunningJob[] = [];
   let running: RunningJob[] = [];
@@ -104,6 +113,8 @@
   let order = 0;
   let isStepping = false;
   let isUp = true;
+  /** When the copies under way have ended. */
+  let linkFreeAt = 0;
   /** Steps of a server that has crashed since are dropped. */
   let life = 0;
 
@@ -214,20 +225,20 @@
     );
   }
 
-  function startWaiting(): void {
-    for (;;) {
-      waiting.sort(compareUrgency);
-      const [next] = waiting;
-      if (!next) {
-        return;
-      }
-      if (hasRoom(next)) {
-        waiting.shift();
-        startJob(next);
-      } else if (!preemptFor(next.job.urgency)) {
-        return;
+  /** Starts the next request that waits, if there is room for it. */
+  function startNext(): RunningJob | undefined {
+    waiting.sort(compareUrgency);
+    const [next] = waiting;
+    while (next && !hasRoom(next)) {
+      if (!preemptFor(next.job.urgency)) {
+        return undefined;
       }
     }
+    if (next) {
+      waiting = waiting.filter(item => item !== next);
+      startJob(next);
+    }
+    return next;
   }
 
   /** Shared parts count as held by the server once they have been read. */
@@ -244,16 +255,50 @@
     }
   }
 
+  /** Copies shared parts that the source holds; tells when they are here. */
+  function copyParts({copySource, parts: wanted}: EngineJob): number {
+    let tokens = 0;
+    for (const {key, tokens: size} of wanted) {
+      if (key === '' || !(parts.has(key) || copySource?.holds(key))) {
+        break;
+      }
+      if (!parts.has(key)) {
+        parts.set(key, {tokens: size, users: 0, usedAt: agenda.now});
+        cachedTokens += size;
+        tokens += size;
+      }
+    }
+    removeUnused();
+    if (tokens === 0) {
+      return agenda.now;
+    }
+    totals.copiedTokens += tokens;
+    linkFreeAt =
+      Math.max(agenda.now, linkFreeAt) +
+      profile.copySetUpMs +
+      tokens / profile.copiedTokensPerMs;
+    return linkFreeAt;
+  }
+
+  /** Reads prompts under way first, then those of requests that wait. */
   function readChunk(): number {
     let budget = profile.chunkTokens;
-    for (const item of running) {
+    function read(item: RunningJob): void {
       const taken = Math.min(budget, item.unreadTokens);
       item.unreadTokens -= taken;
       budget -= taken;
     }
-    const read = profile.chunkTokens - budget;
-    totals.readTokens += read;
-    return read;
+    running.forEach(read);
+    while (budget > 0) {
+      const started = startNext();
+      if (!started) {
+        break;
+      }
+      read(started);
+    }
+    const total = profile.chunkTokens - budget;
+    totals.readTokens += total;
+    return total;
   }
 
   function addToken(item: RunningJob): void {
@@ -283,12 +328,11 @@
   }
 
   function runStep(): void {
-    startWaiting();
+    const read = readChunk();
     isStepping = running.length > 0;
     if (!isStepping) {
       return;
     }
-    const read = readChunk();
     const duration =
       profile.stepMs +
       profile.stepMsPerRequest * running.length +
@@ -307,12 +351,13 @@
     get isUp() {
       return isUp;
     },
+    holds: key => parts.has(key),
     submit: job => {
       if (!isUp || waiting.length >= profile.maximumWaiting) {
         return false;
       }
       order += 1;
-      waiting.push({
+      const item = {
         job,
         order,
         unreadTokens: 0,
@@ -320,10 +365,19 @@
         ownTokens: 0,
         producedTokens: 0,
         isRunning: false,
+      };
+      const copiedAt = copyParts(job);
+      const submitLife = life;
+      agenda.runAt(copiedAt, () => {
+        if (submitLife !== life) {
+          job.onBroken();
+          return;
+        }
+        waiting.push(item);
+        if (!isStepping) {
+          runStep();
+        }
       });
-      if (!isStepping) {
-        runStep();
-      }
       return true;
     },
     cancel: job => {
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -115,7 +115,11 @@
     maximumConnections: MAXIMUM_CONNECTIONS,
     coldMs: 0,
     coldRequestsPerSecond: 0,
-    engine: {slots: profile.slots, memoryTokens: profile.memoryTokens},
+    engine: {
+      slots: profile.slots,
+      memoryTokens: profile.memoryTokens,
+      copiedTokensPerMs: profile.copiedTokensPerMs,
+    },
   };
   const servers: KnownServer[] = Array.from(
     {length: options.servers},
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -29,6 +29,7 @@
     ...rows,
     `credit ${result.credit.toFixed(4)}, read ${(result.readTokens / 1e6).toFixed(2)} M tokens, ` +
       `${(result.readAgainTokens / 1e6).toFixed(2)} M of shared parts again, ` +
+      `${(result.copiedTokens / 1e6).toFixed(2)} M copied, ` +
       `${result.preemptions} preempted`,
   ].join('\n');
 }
--- a/packages/experiment/src/run_experiment.ts
+++ b/packages/experiment/src/run_experiment.ts
@@ -45,6 +45,7 @@
   readTokens: number;
   /** Shared tokens that had been read somewhere before. */
   readAgainTokens: number;
+  copiedTokens: number;
   preemptions: number;
 }
 
@@ -205,6 +206,8 @@
       }
       const {server, ticket} = selected;
       const engine = fleet.engines.get(server.id)!;
+      // The address of a server of the model is its identity.
+      const source = fleet.engines.get(selected.copySource ?? '');
       let lastAt = agenda.now;
       let isFirst = true;
       let cause: 'lateFirst' | 'latePause' | undefined;
@@ -232,6 +235,7 @@
         urgency: kind.priority,
         parts: buildModelParts(request),
         outputTokens: request.outputTokens,
+        ...(source ? {copySource: source} : {}),
         onEvent: isLast => {
           if (isEnded) {
             return;
@@ -242,7 +246,7 @@
             cause ??= isFirst ? 'lateFirst' : 'latePause';
           }
           if (isFirst) {
-            ticket.markRead();
+            selected.markRead(agenda.now);
           }
           isFirst = false;
           lastAt = agenda.now;
@@ -302,6 +306,10 @@
       kinds.reduce((sum, kind) => sum + kind.owed, 0),
     readTokens,
     readAgainTokens: readTokens - neededTokens,
+    copiedTokens: engines.reduce(
+      (sum, engine) => sum + engine.totals.copiedTokens,
+      0,
+    ),
     preemptions: engines.reduce(
       (sum, engine) => sum + engine.totals.preemptions,
       0,
--- a/packages/gateway/src/front/caller_front.ts
+++ b/packages/gateway/src/front/caller_front.ts
@@ -81,6 +81,7 @@
     ? {
         home: placement.isHome,
         unreadTokens: placement.unreadTokens,
+        copiedTokens: placement.copiedTokens,
         expectedReadMs: Math.round(placement.expectedReadMs),
         expectedEndMs: Math.round(placement.expectedEndMs),
       }
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -50,6 +50,11 @@
   slots: number;
   /** Memory of a server, in tokens. */
   memoryTokens: number;
+  /**
+   * Tokens of memory that a server copies from another in a millisecond; 0 if
+   * servers cannot copy.
+   */
+  copiedTokensPerMs: number;
 }
 
 /** A service: interchangeable backend servers. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -17,6 +17,8 @@
   customerName: string | undefined;
   /** 0 is the most urgent; undefined where the server has no queue by urgency. */
   urgency: number | undefined;
+  /** Server from which the prompt's memory is copied first, `host:port`. */
+  copySource: string | undefined;
   /** Event after which a resumed stream goes on. */
   lastEventId: string | undefined;
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -165,7 +165,7 @@
     return {
       acceptHead: head => {
         markFirstByte();
-        selected.ticket.markRead();
+        selected.markRead(clock.now());
         state.begun = activity.beginAnswer(selected.server.id, clock.now());
         if (!answer.hasBegun) {
           answer.beginStream(head);
@@ -227,6 +227,7 @@
         urgency: service.engine
           ? Math.min(LOWEST_URGENCY, Math.max(0, priority))
           : undefined,
+        copySource: selected.copySource,
         lastEventId,
       }),
       requestId: facts.id,
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -63,8 +63,12 @@
   service: Service;
   /** The attempt counts as work of the server until this ends. */
   ticket: WorkTicket;
+  /** The server has read the prompt. */
+  markRead: (now: number) => void;
   /** How a generation was placed; absent for plain services. */
   placement?: EnginePlacement;
+  /** Server from which the prompt's memory is copied first, `host:port`. */
+  copySource?: string;
 }
 
 /** Selects servers. */
@@ -252,7 +256,12 @@
       const known = choosePlain(rest, now)!;
       if (claimServer(known, service, now)) {
         const ticket = loads.add(known.server.id, {}, now);
-        return {server: known.server, service, ticket};
+        return {
+          server: known.server,
+          service,
+          ticket,
+          markRead: () => ticket.markRead(),
+        };
       }
       rest.splice(rest.indexOf(known), 1);
     }
@@ -266,17 +275,15 @@
     now: number,
   ) {
     const {server} = known;
+    const memoryKey = buildMemoryKey(known);
     return {
       serverId: server.id,
       slots: server.slots,
       memoryTokens: service.engine?.memoryTokens ?? Infinity,
       ...loads.getWork(server.id, now),
       ownInFlight: loads.getOwnInFlight(server.id),
-      heldTokens: locations.countHeldTokens(
-        buildMemoryKey(known),
-        prefixes,
-        now,
-      ),
+      heldTokens: locations.countExpectedTokens(memoryKey, prefixes, now),
+      readTokens: locations.countReadTokens(memoryKey, prefixes, now),
       failureRate: outcomes.computeFailureRate(server.id, now),
     };
   }
@@ -308,6 +315,7 @@
       );
       const placement = placeGeneration(candidates, request, {
         tokensPerMs,
+        copiedTokensPerMs: service.engine?.copiedTokensPerMs ?? 0,
         shortPool,
         instances: options.listInstances(now).length,
       })!;
@@ -317,7 +325,8 @@
       }
       const known = rest.find(item => item.server.id === serverId)!;
       if (claimServer(known, service, now)) {
-        locations.record(buildMemoryKey(known), prefixes, now);
+        const memoryKey = buildMemoryKey(known);
+        locations.recordSent(memoryKey, prefixes, now);
         const work = {
           unreadTokens,
           // Shared parts are in memory once, however many requests use them.
@@ -325,7 +334,20 @@
         };
         const ticket = loads.add(serverId, work, now);
         const {server} = known;
-        return {server, service, ticket, placement};
+        const source = servers.find(
+          item => item.server.id === placement.copySourceId,
+        );
+        return {
+          server,
+          service,
+          ticket,
+          placement,
+          markRead: at => {
+            ticket.markRead();
+            locations.recordRead(memoryKey, prefixes, at);
+          },
+          ...(source ? {copySource: source.server.address} : {}),
+        };
       }
       rest = rest.filter(item => item !== known);
     }
