perf(membership): short sightings in place of whole records; work by hashes of servers

Six whole records of about 110 bytes went with each message for ever. Records are now passed on whole only for five seconds after a change of the fleet; ten sightings of 12 bytes keep the others alive. Rows of work name a server by its hash, and a place is passed on once in place of twice.

--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -90,7 +90,7 @@
  */
 const WAIT_PER_WEIGHT_MS = 4;
 /** Cost of a short prompt among long ones, in milliseconds of waiting. */
-const SHORT_AMONG_LONG_COST_MS = 300;
+const SHORT_AMONG_LONG_COST_MS = 100;
 /**
  * Cost of a long prompt among short ones, in milliseconds of waiting. It makes
  * many short answers late, so only an idle pool is worth it.
--- a/packages/decisions/src/prefix_locations.ts
+++ b/packages/decisions/src/prefix_locations.ts
@@ -3,7 +3,7 @@
  * each other where a prefix was read for the first time, so that all of them
  * count what a server has yet to read.
  */
-import {hashToUint32} from '@buckthornbeam/shared';
+import {createKnownHash, hashToUint32} from '@buckthornbeam/shared';
 import {LRUCache} from 'lru-cache';
 
 /** One part of a prompt. */
@@ -60,8 +60,10 @@
 const HELD_MS = 60_000;
 /** A place in use is sent again after this time, in milliseconds, for newcomers. */
 const REPEAT_UPDATE_MS = 20_000;
-/** Messages that carry a place; more than one, since datagrams are lost. */
+/** Messages that carry an own place; more than one, since datagrams are lost. */
 const UPDATE_ROUNDS = 2;
+/** Messages that pass a place on; others pass it on as well. */
+const PASSED_ON_ROUNDS = 1;
 /** Places in one message; 4 bytes each, so that it stays in one packet. */
 const UPDATES_PER_MESSAGE = 150;
 /** Places that wait for a message; the oldest are dropped beyond. */
@@ -101,18 +103,9 @@
   const readAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
   /** When it was last sent to peers. */
   const sentAt = new LRUCache<number, number>({max: MAXIMUM_PLACES});
-  const serverHashes = new LRUCache<string, number>({max: MAXIMUM_SERVERS});
+  const hashServer = createKnownHash(MAXIMUM_SERVERS);
   let updates: Array<{place: number; rounds: number}> = [];
 
-  function hashServer(serverKey: string): number {
-    let hash = serverHashes.get(serverKey);
-    if (hash === undefined) {
-      hash = hashToUint32(serverKey);
-      serverHashes.set(serverKey, hash);
-    }
-    return hash;
-  }
-
   function listPlaces(
     serverKey: string,
     prefixes: readonly PromptPrefix[],
@@ -147,11 +140,11 @@
     return held;
   }
 
-  function addUpdate(place: number, now: number): void {
+  function addUpdate(place: number, rounds: number, now: number): void {
     const sent = sentAt.get(place);
     if (sent === undefined || now - sent > REPEAT_UPDATE_MS) {
       sentAt.set(place, now);
-      updates.push({place, rounds: UPDATE_ROUNDS});
+      updates.push({place, rounds});
     }
   }
 
@@ -164,7 +157,7 @@
     recordRead: (serverKey, prefixes, now) => {
       for (const place of listPlaces(serverKey, prefixes)) {
         readAt.set(place, now);
-        addUpdate(place, now);
+        addUpdate(place, UPDATE_ROUNDS, now);
       }
     },
     countExpectedTokens: (serverKey, prefixes, now) =>
@@ -186,7 +179,7 @@
       for (const place of places) {
         readAt.set(place, now);
         if (isPassedOn) {
-          addUpdate(place, now);
+          addUpdate(place, PASSED_ON_ROUNDS, now);
         } else {
           sentAt.set(place, now);
         }
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -3,7 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {RouterError} from '@buckthornbeam/shared';
-import {createManualClock} from '@buckthornbeam/shared';
+import {createManualClock, hashToUint32} from '@buckthornbeam/shared';
 import {describe, it} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
 import {createLineWriter} from '../src/logs.js';
@@ -12,6 +12,7 @@
 import {computeRetryAfter} from '../src/relay/retry_after.js';
 import {parseGatewaySettings} from '../src/settings.js';
 import {createServerLoads} from '../src/state/server_loads.js';
+import type {WorkRow} from '../src/state/server_loads.js';
 import {createSuspensionDetector} from '../src/state/suspension.js';
 
 const SETTINGS = {
@@ -136,9 +137,10 @@
       revision: 9,
       digest: 1,
       confirmedAgeMs: Infinity,
-      work: {s1: [1, 2, 3, 0.5] as [number, number, number, number]},
+      work: [[0xfedcba98, 1, 2, 3, 0.5]] as WorkRow[],
       prefixPlaces: [0, 7, 0xffffffff],
       relayed: [{record: sender, ageMs: 5}],
+      sightings: [{stateHash: 0xfffffffe, round: 7, ageMs: 250}],
     };
     // Datagrams arrive as a Buffer within a larger block of memory.
     const datagram = Buffer.from(encodeGossip(message));
@@ -156,11 +158,9 @@
       callerAddress: '10.200.100.100:8227',
       dataCentre: 'data-centre-12',
     };
-    const work = Object.fromEntries(
-      Array.from({length: 20}, (_, index) => [
-        `i-0123456${index + 100}`,
-        [3, 12_345, 65_432, 1.25] as [number, number, number, number],
-      ]),
+    const work = Array.from(
+      {length: 20},
+      (_, index): WorkRow => [0xf0000000 + index, 3, 12_345, 65_432, 1.25],
     );
     const bytes = encodeGossip({
       sender: record,
@@ -171,6 +171,11 @@
       work,
       prefixPlaces: Array.from({length: 20}, (_, index) => index * 1e8),
       relayed: Array.from({length: 6}, () => ({record, ageMs: 1200})),
+      sightings: Array.from({length: 10}, (_, index) => ({
+        stateHash: 0xf0000000 + index,
+        round: 1234,
+        ageMs: 1200,
+      })),
     });
     assert.ok(bytes.length < 1400, `${bytes.length} bytes`);
   });
@@ -186,7 +191,7 @@
   it('sum own work and the reports of peers that are fresh', () => {
     const loads = createServerLoads();
     const ticket = loads.add('s1', {unreadTokens: 1000, totalTokens: 1500}, 0);
-    loads.receiveReport('peer', {s1: [2, 3000, 4000, 1]}, 0);
+    loads.receiveReport('peer', [[hashToUint32('s1'), 2, 3000, 4000, 1]], 0);
     const work = loads.getWork('s1', 0);
     assert.is(work.inFlight, 3);
     assert.is(work.unreadTokens, 4000);
@@ -201,8 +206,8 @@
   it('report the reading of a server until it has faded', () => {
     const loads = createServerLoads();
     loads.add('s1', {unreadTokens: 10_000, totalTokens: 10_000}, 0).end();
-    assert.ok(loads.buildReport(100)['s1']![3] > 4);
-    assert.equal(loads.buildReport(60_000), {});
+    assert.ok(loads.buildReport(100)[0]![4] > 4);
+    assert.equal(loads.buildReport(60_000), []);
   });
 });
 
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -3,9 +3,13 @@
  * names of fields, since every instance sends dozens of them each second.
  */
 import {decode, encode} from '@msgpack/msgpack';
-import type {GossipRecord, RelayedRecord} from '@buckthornbeam/membership';
+import type {
+  GossipRecord,
+  RelayedRecord,
+  Sighting,
+} from '@buckthornbeam/membership';
 import {z} from 'zod';
-import type {WorkReport} from '../state/server_loads.js';
+import type {WorkReport, WorkRow} from '../state/server_loads.js';
 
 /** One message. */
 export interface GossipMessage {
@@ -23,6 +27,7 @@
   /** Places where prefixes were read, see `PrefixLocations`. */
   prefixPlaces: readonly number[];
   relayed: readonly RelayedRecord[];
+  sightings: readonly Sighting[];
 }
 
 type RecordRow = [
@@ -62,14 +67,27 @@
 
 const age = z.number().min(0);
 
-/** Server id, requests, unread tokens, tokens, tokens read per millisecond. */
-const workSchema = z.tuple([
-  z.string(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-]);
+/** Reading rates are sent as whole hundredths, which take less room. */
+const RATE_UNITS = 100;
+
+/** See {@link WorkRow}. */
+const workSchema = z
+  .tuple([z.number(), z.number(), z.number(), z.number(), z.number()])
+  .transform(
+    ([hash, inFlight, unread, tokens, rate]): WorkRow => [
+      hash,
+      inFlight,
+      unread,
+      tokens,
+      rate / RATE_UNITS,
+    ],
+  );
+
+const sightingSchema = z
+  .tuple([z.number(), z.number(), age])
+  .transform(
+    ([stateHash, round, ageMs]): Sighting => ({stateHash, round, ageMs}),
+  );
 
 const messageSchema = z
   .tuple([
@@ -81,6 +99,7 @@
     z.array(workSchema),
     z.instanceof(Uint8Array),
     z.array(z.tuple([recordSchema, age])),
+    z.array(sightingSchema),
   ])
   .transform(
     (row): GossipMessage => ({
@@ -89,9 +108,10 @@
       revision: row[2],
       digest: row[3],
       confirmedAgeMs: row[4],
-      work: Object.fromEntries(row[5].map(([id, ...work]) => [id, work])),
+      work: row[5],
       prefixPlaces: decodeIntegers(row[6]),
       relayed: row[7].map(([record, ageMs]) => ({record, ageMs})),
+      sightings: row[8],
     }),
   );
 
@@ -130,12 +150,23 @@
     message.revision,
     message.digest,
     Math.round(Math.min(UNKNOWN_AGE_MS, message.confirmedAgeMs)),
-    Object.entries(message.work).map(([id, work]) => [id, ...work]),
+    message.work.map(([hash, inFlight, unread, tokens, rate]) => [
+      hash,
+      inFlight,
+      unread,
+      tokens,
+      Math.round(rate * RATE_UNITS),
+    ]),
     encodeIntegers(message.prefixPlaces),
     message.relayed.map(({record, ageMs}) => [
       encodeRecord(record),
       Math.round(ageMs),
     ]),
+    message.sightings.map(({stateHash, round, ageMs}) => [
+      stateHash,
+      round,
+      Math.round(ageMs),
+    ]),
   ]);
 }
 
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -61,6 +61,7 @@
       work: loads.buildReport(now),
       prefixPlaces: locations.takeUpdates(),
       relayed: table.pickRelayed(now, random),
+      sightings: table.pickSightings(now, random),
     };
   }
 
@@ -106,7 +107,7 @@
     if (sender.instanceId === self.instanceId) {
       return;
     }
-    table.receive(sender, message.relayed, now);
+    table.receive(sender, message.relayed, now, message.sightings);
     locations.acceptUpdates(message.prefixPlaces, !table.isFullMesh(), now);
     loads.receiveReport(sender.instanceId, message.work, now);
     knowledge.confirmByPeer(version, confirmedAgeMs, now);
--- a/packages/gateway/src/state/server_loads.ts
+++ b/packages/gateway/src/state/server_loads.ts
@@ -1,4 +1,5 @@
 /** Work in flight at the backend servers: own, and what peers report. */
+import {createKnownHash} from '@buckthornbeam/shared';
 
 /** Work at one server. */
 export interface ServerWork {
@@ -19,8 +20,19 @@
   end(): void;
 }
 
+/** Work that one instance has at one server. */
+export type WorkRow = [
+  /** Hash of the server's id. */
+  serverHash: number,
+  inFlight: number,
+  unreadTokens: number,
+  inFlightTokens: number,
+  /** Prompt tokens sent lately, per millisecond. */
+  readingPerMs: number,
+];
+
 /** A report of the work that one instance has in flight. */
-export type WorkReport = Record<string, [number, number, number, number]>;
+export type WorkReport = readonly WorkRow[];
 
 /** What one request adds to the work of its server. */
 export interface RequestWork {
@@ -56,6 +68,9 @@
 /** A reading rate below this is not worth a report, in tokens per millisecond. */
 const LEAST_RATE = 0.05;
 
+/** Hashes of server ids that are kept; more than a fleet has servers. */
+const MAXIMUM_HASHES = 5000;
+
 interface PeerReport {
   report: WorkReport;
   receivedAt: number;
@@ -81,7 +96,9 @@
 export function createServerLoads(): ServerLoads {
   const own = new Map<string, OwnWork>();
   const peers = new Map<string, PeerReport>();
-  let sums = new Map<string, ServerWork>();
+  const hashServer = createKnownHash(MAXIMUM_HASHES);
+  /** By the hash of the server's id. */
+  let sums = new Map<number, ServerWork>();
   let summedAt = -Infinity;
 
   function getOwn(serverId: string, now: number): OwnWork {
@@ -138,16 +155,17 @@
   }
 
   function buildReport(now: number): WorkReport {
-    const report: WorkReport = {};
+    const report: WorkRow[] = [];
     for (const [id, work] of own) {
       const rate = computeReadingRate(work, now);
       if (work.inFlight > 0 || rate > LEAST_RATE) {
-        report[id] = [
+        report.push([
+          hashServer(id),
           work.inFlight,
           work.unreadTokens,
           work.inFlightTokens,
-          Math.round(rate * 100) / 100,
-        ];
+          rate,
+        ]);
       } else {
         own.delete(id);
       }
@@ -156,7 +174,7 @@
   }
 
   /** Sums the reports of peers by server; the sums serve for a while. */
-  function sumPeers(now: number): Map<string, ServerWork> {
+  function sumPeers(now: number): Map<number, ServerWork> {
     if (now >= summedAt && now - summedAt < SUM_LIFE_MS) {
       return sums;
     }
@@ -167,13 +185,13 @@
         peers.delete(id);
         continue;
       }
-      for (const [serverId, row] of Object.entries(report)) {
-        const sum = sums.get(serverId) ?? {...NO_WORK};
+      for (const [serverHash, ...row] of report) {
+        const sum = sums.get(serverHash) ?? {...NO_WORK};
         sum.inFlight += row[0];
         sum.unreadTokens += row[1];
         sum.inFlightTokens += row[2];
         sum.readingPerMs += row[3];
-        sums.set(serverId, sum);
+        sums.set(serverHash, sum);
       }
     }
     return sums;
@@ -184,7 +202,7 @@
     getOwnInFlight: serverId => own.get(serverId)?.inFlight ?? 0,
     getWork: (serverId, now) => {
       const work = own.get(serverId);
-      const peerWork = sumPeers(now).get(serverId) ?? NO_WORK;
+      const peerWork = sumPeers(now).get(hashServer(serverId)) ?? NO_WORK;
       return {
         inFlight: peerWork.inFlight + (work?.inFlight ?? 0),
         unreadTokens: peerWork.unreadTokens + (work?.unreadTokens ?? 0),
--- a/packages/membership/__tests__/gossip_table.spec.ts
+++ b/packages/membership/__tests__/gossip_table.spec.ts
@@ -51,10 +51,13 @@
       const round = (rounds.get(id) ?? 0) + 1;
       rounds.set(id, round);
       const relayed = table.pickRelayed(now, () => random.nextFloat());
+      const sightings = table.pickSightings(now, () => random.nextFloat());
       for (const target of table.pickTargets(now, () => random.nextFloat())) {
         const targetId = target.split(':')[0]!;
         if (!down.has(targetId) && random.nextFloat() >= loss) {
-          tables.get(targetId)!.receive(createRecord(id, round), relayed, now);
+          tables
+            .get(targetId)!
+            .receive(createRecord(id, round), relayed, now, sightings);
         }
       }
     }
@@ -153,6 +156,45 @@
     });
   });
 
+  describe('sightings', () => {
+    const sighting = (record: GossipRecord, round: number) => {
+      const sender = createTable('sender', []);
+      sender.receive({...record, round}, [], 0);
+      // A table that knows few instances sends no sightings.
+      for (let index = 0; index < 20; index++) {
+        sender.receive(createRecord(`filler-${index}`, 1), [], 0);
+      }
+      return sender
+        .pickSightings(0, () => 0)
+        .filter(item => item.round === round);
+    };
+
+    it('keep an instance alive that is known as it is', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('far', 5), [], 0);
+      const seen = sighting(createRecord('far', 0), 9);
+      assert.is(seen.length, 1);
+      table.receive(createRecord('other', 1), [], 5000, seen);
+      assert.is(table.listAlive(5000).length, 2);
+    });
+
+    it('say nothing of an instance that has changed since', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('far', 5), [], 0);
+      const seen = sighting({...createRecord('far', 0), isLeaving: true}, 9);
+      table.receive(createRecord('other', 1), [], 5000, seen);
+      assert.is(table.listAlive(5000).length, 1);
+    });
+
+    it('do not make an older round count as news', () => {
+      const table = createTable('self', []);
+      table.receive(createRecord('far', 5), [], 0);
+      const seen = sighting(createRecord('far', 0), 4);
+      table.receive(createRecord('other', 1), [], 5000, seen);
+      assert.is(table.listAlive(5000).length, 1);
+    });
+  });
+
   it('counts an instance until it is forgotten', () => {
     const table = createTable('self', []);
     table.receive(createRecord('other', 1), [], 0);
--- a/packages/membership/src/gossip_table.ts
+++ b/packages/membership/src/gossip_table.ts
@@ -3,7 +3,7 @@
  * messages and the time, and says to whom to send what.
  */
 
-import {pickSample} from '@buckthornbeam/shared';
+import {hashToUint32, pickSample} from '@buckthornbeam/shared';
 
 /** What an instance says of itself. */
 export interface GossipRecord {
@@ -28,9 +28,22 @@
   ageMs: number;
 }
 
+/**
+ * A short form of {@link RelayedRecord} for receivers that know the instance as
+ * it is. Others ignore it.
+ */
+export interface Sighting {
+  /** Hash of all that a record says but the round. */
+  stateHash: number;
+  round: number;
+  ageMs: number;
+}
+
 /** A known instance other than this one. */
 export interface GossipMember {
   record: GossipRecord;
+  /** See {@link Sighting}. */
+  stateHash: number;
   /** When its newest round was seen, in milliseconds of the local clock. */
   seenAt: number;
 }
@@ -55,6 +68,7 @@
     sender: GossipRecord,
     relayed: readonly RelayedRecord[],
     now: number,
+    sightings?: readonly Sighting[],
   ): void;
   /** Instances heard of lately, without this one. */
   listAlive(now: number): GossipMember[];
@@ -62,8 +76,10 @@
   listRecentIds(now: number): string[];
   /** Addresses for a round of gossip. */
   pickTargets(now: number, nextFloat: () => number): string[];
-  /** Records to pass on with a message. */
+  /** Records to pass on with a message, after changes of the fleet. */
   pickRelayed(now: number, nextFloat: () => number): RelayedRecord[];
+  /** Sightings to pass on with a message, where not every round reaches all. */
+  pickSightings(now: number, nextFloat: () => number): Sighting[];
   /** Whether every round reaches every instance. */
   isFullMesh(): boolean;
   /** Replaces the seeds after a change of the settings. */
@@ -80,14 +96,31 @@
 const FANOUT = 16;
 /** Records passed on with each message; keeps a message in one packet. */
 const RELAYED_RECORDS = 6;
+/** Sightings passed on with each message; a tenth of the size of a record each. */
+const SIGHTINGS = 10;
 /**
- * In a fleet where every round reaches everybody, records are passed on only so
- * long after an instance came, in milliseconds.
+ * Whole records are passed on so long after an instance came or changed, in
+ * milliseconds.
  */
 const INTRODUCTION_MS = 5000;
 /** Rounds between the messages to seeds that are not known as instances. */
 const SEED_ROUNDS = 2;
 
+function computeStateHash(record: GossipRecord): number {
+  const {instanceId, incarnation, gossipAddress, callerAddress} = record;
+  return hashToUint32(
+    [
+      instanceId,
+      incarnation,
+      gossipAddress,
+      callerAddress,
+      record.dataCentre,
+      record.isReady,
+      record.isLeaving,
+    ].join('\n'),
+  );
+}
+
 /** Creates a table that knows only the seeds. */
 export function createGossipTable(options: GossipTableOptions): GossipTable {
   const {
@@ -98,11 +131,12 @@
   } = options;
   let seeds = [...options.seedAddresses];
   const members = new Map<string, GossipMember>();
+  const membersByState = new Map<number, GossipMember>();
   /** Incarnations that a later one has replaced. */
   const retired = new Set<string>();
   /** Addresses that have not had an answer to their first message. */
   let newcomers: string[] = [];
-  let lastArrivalAt = -Infinity;
+  let lastChangeAt = -Infinity;
   let rounds = 0;
 
   function computeAliveMs(): number {
@@ -121,10 +155,30 @@
   }
 
   function acceptRecord(record: GossipRecord, seenAt: number): void {
-    if (!members.has(record.instanceId)) {
-      lastArrivalAt = Math.max(lastArrivalAt, seenAt);
+    const known = members.get(record.instanceId);
+    const stateHash = computeStateHash(record);
+    if (known?.stateHash !== stateHash) {
+      lastChangeAt = Math.max(lastChangeAt, seenAt);
+    }
+    removeMember(known);
+    const member = {record, stateHash, seenAt};
+    members.set(record.instanceId, member);
+    membersByState.set(stateHash, member);
+  }
+
+  function removeMember(member: GossipMember | undefined): void {
+    if (member) {
+      members.delete(member.record.instanceId);
+      membersByState.delete(member.stateHash);
+    }
+  }
+
+  function acceptSighting({stateHash, round, ageMs}: Sighting, now: number) {
+    const known = membersByState.get(stateHash);
+    if (known && round > known.record.round) {
+      known.record = {...known.record, round};
+      known.seenAt = Math.max(known.seenAt, now - ageMs);
     }
-    members.set(record.instanceId, {record, seenAt});
   }
 
   function acceptDirect(record: GossipRecord, now: number): void {
@@ -163,15 +217,15 @@
   }
 
   function removeSilent(now: number): void {
-    for (const [id, member] of members) {
+    for (const member of [...members.values()]) {
       if (now - member.seenAt > forgetMs) {
-        members.delete(id);
+        removeMember(member);
       }
     }
   }
 
   return {
-    receive: (sender, relayed, now) => {
+    receive: (sender, relayed, now, sightings = []) => {
       if (sender.instanceId === selfId) {
         return;
       }
@@ -179,6 +233,9 @@
       for (const item of relayed) {
         acceptRelayed(item, now);
       }
+      for (const item of sightings) {
+        acceptSighting(item, now);
+      }
     },
     listAlive: now => {
       const limit = now - computeAliveMs();
@@ -205,7 +262,7 @@
       return [...targets];
     },
     pickRelayed: (now, nextFloat) =>
-      isFullMesh() && now - lastArrivalAt > INTRODUCTION_MS
+      now - lastChangeAt > INTRODUCTION_MS
         ? []
         : pickSample([...members.values()], RELAYED_RECORDS, nextFloat).map(
             member => ({
@@ -213,6 +270,16 @@
               ageMs: Math.max(0, now - member.seenAt),
             }),
           ),
+    pickSightings: (now, nextFloat) =>
+      isFullMesh()
+        ? []
+        : pickSample([...members.values()], SIGHTINGS, nextFloat).map(
+            ({record, stateHash, seenAt}) => ({
+              stateHash,
+              round: record.round,
+              ageMs: Math.max(0, now - seenAt),
+            }),
+          ),
     isFullMesh,
     updateSeeds: addresses => {
       seeds = [...addresses];
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -19,4 +19,5 @@
   GossipTable,
   GossipTableOptions,
   RelayedRecord,
+  Sighting,
 } from './gossip_table.js';
--- a/packages/shared/src/hash.ts
+++ b/packages/shared/src/hash.ts
@@ -1,5 +1,6 @@
 /** Hashes: xxHash for placement, SHA-256 for digests. */
 import {createHash} from 'node:crypto';
+import {LRUCache} from 'lru-cache';
 import createXxhash from 'xxhash-wasm';
 
 const xxhash = await createXxhash();
@@ -9,6 +10,21 @@
   return xxhash.h32(text, seed);
 }
 
+/** Creates {@link hashToUint32} for texts that come again and again. */
+export function createKnownHash(
+  maximumTexts: number,
+): (text: string) => number {
+  const hashes = new LRUCache<string, number>({max: maximumTexts});
+  return text => {
+    let hash = hashes.get(text);
+    if (hash === undefined) {
+      hash = hashToUint32(text);
+      hashes.set(text, hash);
+    }
+    return hash;
+  };
+}
+
 /** Computes the SHA-256 digest of a text as lower-case hexadecimal. */
 export function computeDigest(text: string): string {
   return createHash('sha256').update(text).digest('hex');
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -5,7 +5,12 @@
 export type {Chart} from './chart.js';
 export {RouterError, errorTable, isErrorCode, toRouterError} from './errors.js';
 export type {ErrorCode, RouterErrorOptions} from './errors.js';
-export {computeDigest, hashToUint32, rankByRendezvous} from './hash.js';
+export {
+  computeDigest,
+  createKnownHash,
+  hashToUint32,
+  rankByRendezvous,
+} from './hash.js';
 export {LogLevel, createLogger, formatFields, parseFields} from './logs.js';
 export type {LogFields, LogValue, Logger, LoggerOptions} from './logs.js';
 export {createMailbox} from './mailbox.js';
