--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -174,6 +174,65 @@
     });
   });
 
+  describe('a burst of short prompts that their pool cannot bear', () => {
+    const options = {...NO_POOL, shortPool: new Set(['a', 'b'])};
+    const short = createRequest({
+      promptTokens: 1400,
+      sharedTokens: 0,
+      sharedKey: '',
+    });
+
+    it('goes to servers for long prompts that have nothing to read', () => {
+      const candidates = IDS.map(id =>
+        createCandidate(id, {
+          unreadTokens: options.shortPool.has(id) ? 8000 : 0,
+        }),
+      );
+      const placed = placeGeneration(candidates, short, options)!;
+      assert.not.ok(options.shortPool.has(placed.serverId));
+    });
+
+    it('stays while the pool is no further behind than the others', () => {
+      const candidates = IDS.map(id =>
+        createCandidate(id, {unreadTokens: 8000}),
+      );
+      const placed = placeGeneration(candidates, short, options)!;
+      assert.ok(options.shortPool.has(placed.serverId));
+    });
+  });
+
+  describe('short answers beside servers that read without a break', () => {
+    const short = createRequest({
+      promptTokens: 1400,
+      sharedTokens: 0,
+      sharedKey: '',
+      pauseMs: 300,
+    });
+    const options = {...NO_POOL, tokensPerEvent: 7};
+    // Reading 12,000 tokens takes about 280 ms in six steps.
+    const reading = createCandidate('reading', {unreadTokens: 12_000});
+    const crowded = createCandidate('crowded', {inFlight: 60});
+
+    it('go where events do not wait for the reading', () => {
+      const placed = placeGeneration([reading, crowded], short, options)!;
+      assert.is(placed.serverId, 'crowded');
+    });
+
+    it('go by the shortest wait where events hold fewer tokens', () => {
+      const few = {...options, tokensPerEvent: 1};
+      const busy = createCandidate('crowded', {inFlight: 90});
+      const placed = placeGeneration([reading, busy], short, few)!;
+      assert.is(placed.serverId, 'reading');
+    });
+
+    it('go by the shortest wait where longer pauses are on time', () => {
+      const patient = {...short, pauseMs: 3000};
+      const busy = createCandidate('crowded', {inFlight: 90});
+      const placed = placeGeneration([reading, busy], patient, options)!;
+      assert.is(placed.serverId, 'reading');
+    });
+  });
+
   describe('a hot key that one server cannot bear', () => {
     it('moves to a server that holds the parts already', () => {
       const request = createRequest();
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -2,7 +2,7 @@
  * Places generations on model servers: where the prompt's shared parts are in
  * memory, unless waiting there costs more than reading them again elsewhere.
  */
-import {rankByRendezvous} from '@buckthornbeam/shared';
+import {findByRendezvous} from '@buckthornbeam/shared';
 
 /** What an instance knows of a model server. */
 export interface EngineCandidate {
@@ -38,6 +38,8 @@
   outputTokens: number;
   /** Time within which the first event is on time, in milliseconds. */
   targetMs: number;
+  /** Longest pause between events that is on time, in milliseconds. */
+  pauseMs?: number | undefined;
   /** Time left until the answer must be whole, in milliseconds. */
   leftMs: number;
 }
@@ -46,6 +48,8 @@
 export interface PlacementOptions {
   /** Prompt tokens that a server reads in a millisecond. */
   tokensPerMs: number;
+  /** Output tokens in one event of a stream. */
+  tokensPerEvent?: number;
   /**
    * Tokens of memory that one server copies from another in a millisecond; 0
    * where servers cannot copy.
@@ -118,6 +122,15 @@
 const LATE_WEIGHT = 1;
 /** Cost of each millisecond beyond the time left, in milliseconds of waiting. */
 const MISSED_WEIGHT = 2;
+/**
+ * Cost of a server that reads for longer without a break than the pause between
+ * two events may last, in milliseconds of waiting: every answer there is late.
+ */
+const LATE_PAUSE_COST_MS = 500;
+/** Part of that time from which on the cost rises. */
+const SAFE_PAUSE_PART = 0.4;
+/** Part of that time at which it is full; a server can be slower than most. */
+const FULL_PAUSE_PART = 0.8;
 /**
  * Part of the own requests in flight that every other instance is taken to have
  * at the server as well, until its report says so.
@@ -224,6 +237,34 @@
   return lateMs * LATE_WEIGHT + missedMs * MISSED_WEIGHT;
 }
 
+/**
+ * Cost of pauses between events. An event is late when reading fills as many
+ * steps in a row as the event has tokens.
+ */
+function computePauseCost(
+  candidate: EngineCandidate,
+  {pauseMs}: EngineRequest,
+  unreadTokens: number,
+  {tokensPerMs, tokensPerEvent = 0}: PlacementOptions,
+): number {
+  const readingStepMs =
+    STEP_MS +
+    STEP_MS_PER_ANSWER * candidate.inFlight +
+    STEP_TOKENS / tokensPerMs;
+  if (
+    pauseMs === undefined ||
+    tokensPerEvent * readingStepMs < pauseMs * SAFE_PAUSE_PART
+  ) {
+    return 0;
+  }
+  const readingMs =
+    ((candidate.unreadTokens + unreadTokens) / STEP_TOKENS) * readingStepMs;
+  const excess =
+    (readingMs / pauseMs - SAFE_PAUSE_PART) /
+    (FULL_PAUSE_PART - SAFE_PAUSE_PART);
+  return LATE_PAUSE_COST_MS * Math.min(1, Math.max(0, excess));
+}
+
 function computePoolCost(
   {serverId}: EngineCandidate,
   {promptTokens}: EngineRequest,
@@ -239,7 +280,7 @@
 function computeCost(
   candidate: EngineCandidate,
   request: EngineRequest,
-  chargedTokens: number,
+  {unreadTokens, chargedTokens}: {unreadTokens: number; chargedTokens: number},
   times: {readMs: number; endMs: number},
   options: PlacementOptions & {readingWeight: number},
 ): number {
@@ -249,6 +290,7 @@
     (options.readingWeight * chargedTokens) / tokensPerMs +
     computeCrowdingCost(candidate, request, options.instances) +
     computeLateness(request, times.readMs, times.endMs) +
+    computePauseCost(candidate, request, unreadTokens, options) +
     candidate.failureRate * FAILURE_COST_MS +
     computePoolCost(candidate, request, shortPool)
   );
@@ -283,7 +325,7 @@
     item => shortPool.has(item.serverId) === isShort,
   );
   const ids = (pool.length > 0 ? pool : candidates).map(item => item.serverId);
-  return rankByRendezvous(request.sharedKey, ids)[0];
+  return findByRendezvous(request.sharedKey, ids);
 }
 
 /** What a server copies from another before it reads. */
@@ -338,7 +380,7 @@
     const isHome = serverId === home;
     const copy = planCopy(candidate, request, source);
     const unreadTokens = countUnread(candidate, request) - copy.tokens;
-    const charged =
+    const chargedTokens =
       countChargedTokens(unreadTokens, request, isHome) +
       copy.tokens * COPYING_PART;
     const copyMs = copy.tokens > 0 ? copy.tokens / copiedTokensPerMs : 0;
@@ -347,7 +389,8 @@
     const endMs =
       readMs + request.outputTokens * estimateTokenMs(candidate, tokensPerMs);
     const times = {readMs, endMs};
-    const cost = computeCost(candidate, request, charged, times, options);
+    const reading = {unreadTokens, chargedTokens};
+    const cost = computeCost(candidate, request, reading, times, options);
     if (!best || cost < best.cost || (cost === best.cost && isHome)) {
       best = {
         serverId,
--- a/packages/experiment/src/engine_model.ts
+++ b/packages/experiment/src/engine_model.ts
@@ -256,7 +256,7 @@
   }
 
   /** Copies shared parts that the source holds; tells when they are here. */
-  function copyParts({copySource, parts: wanted}: EngineJob): number {
+  function fetchParts({copySource, parts: wanted}: EngineJob): number {
     let tokens = 0;
     for (const {key, tokens: size} of wanted) {
       if (key === '' || !(parts.has(key) || copySource?.holds(key))) {
@@ -287,6 +287,9 @@
       const taken = Math.min(budget, item.unreadTokens);
       item.unreadTokens -= taken;
       budget -= taken;
+      if (item.unreadTokens === 0) {
+        keepParts(item);
+      }
     }
     running.forEach(read);
     while (budget > 0) {
@@ -317,7 +320,6 @@
 
   function endStep(): void {
     for (const item of running.filter(other => other.unreadTokens === 0)) {
-      keepParts(item);
       addToken(item);
     }
     while (usedTokens > profile.memoryTokens && preemptFor(-1)) {
@@ -366,7 +368,7 @@
         producedTokens: 0,
         isRunning: false,
       };
-      const copiedAt = copyParts(job);
+      const copiedAt = fetchParts(job);
       const submitLife = life;
       agenda.runAt(copiedAt, () => {
         if (submitLife !== life) {
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -119,6 +119,7 @@
       slots: profile.slots,
       memoryTokens: profile.memoryTokens,
       copiedTokensPerMs: profile.copiedTokensPerMs,
+      tokensPerEvent: profile.tokensPerEvent,
     },
   };
   const servers: KnownServer[] = Array.from(
@@ -210,12 +211,12 @@
     instances,
     engines,
     select: (instance, request, leftMs, excluded) => {
-      const {targetMs, priority} = request.kind;
+      const {targetMs, pauseMs, priority} = request.kind;
       return instance.selection.select(
         buildRoute(request.kind),
         buildFacts(request),
         excluded,
-        {targetMs, leftMs, priority},
+        {targetMs, pauseMs, leftMs, priority},
         agenda.now,
       );
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,8 @@
 import {createServerActivity} from './state/server_activity.js';
 import {createServerLoads} from './state/server_loads.js';
 import {createServerSelection} from './state/server_selection.js';
-import {isStoreReader} from './state/store_readers.js';
+import {computeReadPause, isStoreReader} from './state/store_readers.js';
+import type {StoreReaderOptions} from './state/store_readers.js';
 import {createStoreWatcher} from './state/store_watcher.js';
 
 /** Options of {@link createGateway}. */
@@ -98,24 +99,20 @@
     clock,
     logger,
     watchMs: settings.store.watchMs,
-    computePauseMs: () =>
-      isReader() ? settings.store.pauseMs : settings.store.followerPauseMs,
+    computePauseMs: () => computeReadPause(describeReaders(), settings.store),
     mustHurry: () => knowledge.computeAge(clock.now()) > FOLLOWER_AGE_MS,
   });
 
-  /** In a large fleet some instances read the store and the others follow them. */
-  function isReader(): boolean {
-    return isStoreReader({
+  function describeReaders(): StoreReaderOptions {
+    const others = gossip.table
+      .listAlive(clock.now())
+      .filter(({record}) => !record.isLeaving)
+      .map(({record}) => record.instanceId);
+    return {
       selfId: settings.instanceId,
-      instanceIds: [
-        settings.instanceId,
-        ...gossip.table
-          .listAlive(clock.now())
-          .filter(({record}) => !record.isLeaving)
-          .map(({record}) => record.instanceId),
-      ],
+      instanceIds: [settings.instanceId, ...others],
       readers: settings.store.readers,
-    });
+    };
   }
 
   const keyTrust = createKeyTrust({
@@ -139,7 +136,7 @@
     knowledge,
     clock,
     logger,
-    isReading: () => isReader() && watcher.isConnected(),
+    isReading: () => isStoreReader(describeReaders()) && watcher.isConnected(),
     onBehind: () => watcher.refresh(),
   });
 
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -55,6 +55,8 @@
    * servers cannot copy.
    */
   copiedTokensPerMs: number;
+  /** Output tokens in one event of a stream; 0 if it is not known. */
+  tokensPerEvent: number;
 }
 
 /** A service: interchangeable backend servers. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -148,7 +148,12 @@
         route,
         facts,
         excluded,
-        {targetMs: route.targetLatencyMs, leftMs: endsAt - now, priority},
+        {
+          targetMs: route.targetLatencyMs,
+          pauseMs: route.eventPauseMs,
+          leftMs: endsAt - now,
+          priority,
+        },
         now,
       );
       if (selected || left.aborted || clock.now() + LOOK_MS > giveUpAt) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -40,6 +40,11 @@
     pauseMs: milliseconds.default(250),
     /** Instances that read the store; the others follow what these pass on. */
     readers: z.number().int().positive().default(8),
+    /**
+     * Pause of a reader that others follow. Readers are not in step, so that the
+     * fleet hears of a change within a fraction of it.
+     */
+    sharedPauseMs: milliseconds.default(600),
     /** Pause of an instance that follows the readers. */
     followerPauseMs: milliseconds.default(10_000),
   }),
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -119,6 +119,8 @@
 export interface PlacementLimits {
   /** Time within which the first event is on time, in milliseconds. */
   targetMs: number;
+  /** Longest pause between events that is on time, in milliseconds. */
+  pauseMs: number | undefined;
   /** Time left until the answer must be whole, in milliseconds. */
   leftMs: number;
   /** 0 is the highest. */
@@ -127,10 +129,11 @@
 
 function buildEngineRequest(
   facts: GenerationFacts,
-  {targetMs, leftMs}: PlacementLimits,
+  {targetMs, pauseMs, leftMs}: PlacementLimits,
 ): EngineRequest {
   return {
     targetMs,
+    pauseMs,
     leftMs,
     promptTokens: facts.promptTokens,
     sharedTokens: countSharedTokens(facts),
@@ -151,6 +154,9 @@
   const tokensPerMs = options.readingTokensPerMs;
   const outcomes = createServerOutcomes();
   const coldLimit = createColdLimit({selfId: options.selfId});
+  /** The last pool for short prompts, and the servers it was chosen from. */
+  let poolKey = '';
+  let pool: ReadonlySet<string> = new Set();
 
   function isInRegion(route: Route, server: BackendServer): boolean {
     const region = options.regions[server.dataCentre];
@@ -193,9 +199,9 @@
     service: Service,
     route: Route,
     excluded: ReadonlySet<string>,
+    instances: readonly string[],
     now: number,
   ): KnownServer[] {
-    const instances = options.listInstances(now);
     return knowledge.listServers(service.name, now).filter(known => {
       const {server} = known;
       return (
@@ -212,6 +218,7 @@
   function claimServer(
     known: KnownServer,
     service: Service,
+    instances: readonly string[],
     now: number,
   ): boolean {
     if (!isCold(known, service, now)) {
@@ -220,7 +227,7 @@
     return coldLimit.take(
       known.server.id,
       getTolerance(service),
-      options.listInstances(now),
+      instances,
       now,
     );
   }
@@ -249,12 +256,13 @@
   function selectPlain(
     servers: readonly KnownServer[],
     service: Service,
+    instances: readonly string[],
     now: number,
   ): SelectedServer | undefined {
     const rest = [...servers];
     while (rest.length > 0) {
       const known = choosePlain(rest, now)!;
-      if (claimServer(known, service, now)) {
+      if (claimServer(known, service, instances, now)) {
         const ticket = loads.add(known.server.id, {}, now);
         return {
           server: known.server,
@@ -289,13 +297,18 @@
   }
 
   /** Chooses the servers of a service that are set apart for short prompts. */
-  function choosePool(service: Service, now: number): Set<string> {
+  function choosePool(service: Service, now: number): ReadonlySet<string> {
     // Servers that cannot be used would leave the pool smaller than it seems.
     const serverIds = knowledge
       .listServers(service.name, now)
       .map(known => known.server.id)
       .filter(id => isReachable(id, now));
-    return chooseShortPool({serverIds, part: options.shortPromptPart});
+    const key = serverIds.join('\n');
+    if (key !== poolKey) {
+      poolKey = key;
+      pool = chooseShortPool({serverIds, part: options.shortPromptPart});
+    }
+    return pool;
   }
 
   function selectEngine(
@@ -303,6 +316,7 @@
     service: Service,
     facts: GenerationFacts,
     limits: PlacementLimits,
+    instances: readonly string[],
     now: number,
   ): SelectedServer | undefined {
     const request = buildEngineRequest(facts, limits);
@@ -316,15 +330,16 @@
       const placement = placeGeneration(candidates, request, {
         tokensPerMs,
         copiedTokensPerMs: service.engine?.copiedTokensPerMs ?? 0,
+        tokensPerEvent: service.engine?.tokensPerEvent ?? 0,
         shortPool,
-        instances: options.listInstances(now).length,
+        instances: instances.length,
       })!;
       const {serverId, unreadTokens, expectedEndMs} = placement;
       if (expectedEndMs > limits.leftMs * getMissedPart(limits.priority)) {
         return undefined;
       }
       const known = rest.find(item => item.server.id === serverId)!;
-      if (claimServer(known, service, now)) {
+      if (claimServer(known, service, instances, now)) {
         const memoryKey = buildMemoryKey(known);
         locations.recordSent(memoryKey, prefixes, now);
         const work = {
@@ -375,12 +390,20 @@
 
   return {
     select: (route, request, excluded, limits, now) => {
+      const instances = options.listInstances(now);
       for (const service of listServices(route, request.id)) {
-        const servers = listUsable(service, route, excluded, now);
+        const servers = listUsable(service, route, excluded, instances, now);
         const selected =
           service.engine && request.generation
-            ? selectEngine(servers, service, request.generation, limits, now)
-            : selectPlain(servers, service, now);
+            ? selectEngine(
+                servers,
+                service,
+                request.generation,
+                limits,
+                instances,
+                now,
+              )
+            : selectPlain(servers, service, instances, now);
         if (selected) {
           return selected;
         }
--- a/packages/membership/__tests__/gossip_table.spec.ts
+++ b/packages/membership/__tests__/gossip_table.spec.ts
@@ -157,7 +157,7 @@
   });
 
   describe('sightings', () => {
-    const sighting = (record: GossipRecord, round: number) => {
+    function pickSighting(record: GossipRecord, round: number) {
       const sender = createTable('sender', []);
       sender.receive({...record, round}, [], 0);
       // A table that knows few instances sends no sightings.
@@ -167,12 +167,12 @@
       return sender
         .pickSightings(0, () => 0)
         .filter(item => item.round === round);
-    };
+    }
 
     it('keep an instance alive that is known as it is', () => {
       const table = createTable('self', []);
       table.receive(createRecord('far', 5), [], 0);
-      const seen = sighting(createRecord('far', 0), 9);
+      const seen = pickSighting(createRecord('far', 0), 9);
       assert.is(seen.length, 1);
       table.receive(createRecord('other', 1), [], 5000, seen);
       assert.is(table.listAlive(5000).length, 2);
@@ -181,7 +181,10 @@
     it('say nothing of an instance that has changed since', () => {
       const table = createTable('self', []);
       table.receive(createRecord('far', 5), [], 0);
-      const seen = sighting({...createRecord('far', 0), isLeaving: true}, 9);
+      const seen = pickSighting(
+        {...createRecord('far', 0), isLeaving: true},
+        9,
+      );
       table.receive(createRecord('other', 1), [], 5000, seen);
       assert.is(table.listAlive(5000).length, 1);
     });
@@ -189,7 +192,7 @@
     it('do not make an older round count as news', () => {
       const table = createTable('self', []);
       table.receive(createRecord('far', 5), [], 0);
-      const seen = sighting(createRecord('far', 0), 4);
+      const seen = pickSighting(createRecord('far', 0), 4);
       table.receive(createRecord('other', 1), [], 5000, seen);
       assert.is(table.listAlive(5000).length, 1);
     });
--- a/packages/shared/src/hash.ts
+++ b/packages/shared/src/hash.ts
@@ -30,13 +30,34 @@
   return createHash('sha256').update(text).digest('hex');
 }
 
+/** Finds the candidate that {@link rankByRendezvous} puts first. */
+export function findByRendezvous(
+  key: string,
+  candidates: readonly string[],
+): string | undefined {
+  let best: string | undefined;
+  let bestWeight = -1;
+  for (const id of candidates) {
+    const weight = computeRendezvousWeight(key, id);
+    if (weight > bestWeight || (weight === bestWeight && id < best!)) {
+      best = id;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+function computeRendezvousWeight(key: string, id: string): number {
+  return hashToUint32(`${key}\n${id}`);
+}
+
 /** Ranks candidates for a key by rendezvous hashing, best first. */
 export function rankByRendezvous(
   key: string,
   candidates: readonly string[],
 ): string[] {
   return candidates
-    .map(id => ({id, weight: hashToUint32(`${key}\n${id}`)}))
+    .map(id => ({id, weight: computeRendezvousWeight(key, id)}))
     .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
     .map(entry => entry.id);
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -8,6 +8,7 @@
 export {
   computeDigest,
   createKnownHash,
+  findByRendezvous,
   hashToUint32,
   rankByRendezvous,
 } from './hash.js';
