--- a/packages/decisions/__tests__/engine_placement.spec.ts
+++ b/packages/decisions/__tests__/engine_placement.spec.ts
@@ -1,8 +1,9 @@
 /** Placement of generations under the load patterns that it answers. */
 import {describe, it} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
-import {estimateTokenMs, placeGeneration} from '../src/engine_placement.js';
-import type {EngineCandidate, EngineRequest} from '../src/engine_placement.js';
+import type {EngineCandidate, EngineRequest} from '../src/engine_candidate.js';
+import {estimateTokenMs} from '../src/engine_costs.js';
+import {placeGeneration} from '../src/engine_placement.js';
 import {createPrefixLocations, listPrefixes} from '../src/prefix_locations.js';
 import {chooseShortPool} from '../src/short_pool.js';
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -71,13 +71,14 @@
 export type {TokenBucket, TokenBucketOptions} from './token_bucket.js';
 export {computeColdRate, createColdLimit} from './cold_limit.js';
 export type {ColdLimit, ColdLimitOptions, ColdTolerance} from './cold_limit.js';
-export {estimateTokenMs, placeGeneration} from './engine_placement.js';
+export {estimateTokenMs} from './engine_costs.js';
 export type {
   EngineCandidate,
-  EnginePlacement,
   EngineRequest,
   PlacementOptions,
-} from './engine_placement.js';
+} from './engine_candidate.js';
+export {placeGeneration} from './engine_placement.js';
+export type {EnginePlacement} from './engine_placement.js';
 export {createPrefixLocations, listPrefixes} from './prefix_locations.js';
 export type {
   PrefixLocations,
--- a/packages/experiment/src/cases.ts
+++ b/packages/experiment/src/cases.ts
@@ -1,5 +1,5 @@
 /** Fleets and loads, each named after the pattern that it shows. */
-import type {EngineProfile} from './engine_model.js';
+import type {EngineProfile} from './engine.js';
 import type {RequestKind} from './load_model.js';
 import type {ExperimentCase} from './run_experiment.js';
 
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -23,7 +23,7 @@
 import type {RandomSource} from '@buckthornbeam/shared';
 import type {Agenda} from './agenda.js';
 import {createEngineModel} from './engine_model.js';
-import type {EngineModel, EngineProfile} from './engine_model.js';
+import type {EngineModel, EngineProfile} from './engine.js';
 import type {LoadRequest, RequestKind} from './load_model.js';
 
 /** Options of {@link createFleetModel}. */
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -8,7 +8,7 @@
   EngineModel,
   EngineProfile,
   ModelPart,
-} from './engine_model.js';
+} from './engine.js';
 export type {Burst, Crash, RequestKind} from './load_model.js';
 export {runExperiment} from './run_experiment.js';
 export type {
--- a/packages/experiment/src/run_experiment.ts
+++ b/packages/experiment/src/run_experiment.ts
@@ -1,7 +1,7 @@
 /** Plays a described load on a fleet and counts what callers get. */
 import {createRandom} from '@buckthornbeam/shared';
 import {createAgenda} from './agenda.js';
-import type {EngineJob, EngineProfile} from './engine_model.js';
+import type {EngineJob, EngineProfile} from './engine.js';
 import {createFleetModel} from './fleet_model.js';
 import type {FleetModel, ModelInstance} from './fleet_model.js';
 import {createLoad} from './load_model.js';
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -9,7 +9,6 @@
 import type {
   ColdTolerance,
   EnginePlacement,
-  EngineRequest,
   PrefixLocations,
   PromptPrefix,
   ServerOutcome,
@@ -23,6 +22,8 @@
   Service,
   ServiceConfiguration,
 } from '../model.js';
+import {buildEngineRequest, getMissedPart} from './engine_request.js';
+import type {PlacementLimits} from './engine_request.js';
 import type {KnownServer, Knowledge} from './knowledge.js';
 import type {ServerActivity} from './server_activity.js';
 import type {ServerLoads, WorkTicket} from './server_loads.js';
@@ -94,57 +95,11 @@
 /** Part of the connections of a server that the fleet uses. */
 const CONNECTION_PART = 0.8;
 
-/**
- * An answer expected to take so many times the time left is not begun. The
- * estimate is rough, so only clear cases count for the most urgent requests;
- * the less urgent ones make room first.
- */
-const MISSED_PARTS = [1.2, 1, 0.8];
-
-function countSharedTokens(facts: GenerationFacts): number {
-  return facts.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-}
-
 /** Names the memory of a server; a server that starts again holds nothing. */
 function buildMemoryKey({server}: KnownServer): string {
   return `${server.id}@${server.startedAt ?? 0}`;
 }
 
-function getMissedPart(priority: number): number {
-  const rank = Math.min(Math.max(0, priority), MISSED_PARTS.length - 1);
-  return MISSED_PARTS[Math.floor(rank)]!;
-}
-
-/** What a request's route and time ask of its placement. */
-export interface PlacementLimits {
-  /** Time within which the first event is on time, in milliseconds. */
-  targetMs: number;
-  /** Longest pause between events that is on time, in milliseconds. */
-  pauseMs: number | undefined;
-  /** Time left until the answer must be whole, in milliseconds. */
-  leftMs: number;
-  /** 0 is the highest. */
-  priority: number;
-}
-
-function buildEngineRequest(
-  facts: GenerationFacts,
-  {targetMs, pauseMs, leftMs}: PlacementLimits,
-): EngineRequest {
-  return {
-    targetMs,
-    pauseMs,
-    leftMs,
-    promptTokens: facts.promptTokens,
-    sharedTokens: countSharedTokens(facts),
-    sharedKey: facts.parts
-      .slice(0, -1)
-      .map(part => part.id)
-      .join('/'),
-    outputTokens: facts.expectedOutputTokens ?? facts.maximumOutputTokens,
-  };
-}
-
 /** Creates a selection. */
 export function createServerSelection(
   options: ServerSelectionOptions,
