--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,14 @@
 import {verbFirst} from './scripts/eslint/verbs.mjs';
 
 export default [
-  {ignores: ['**/dist/', '**/node_modules/', 'packages/protocol/src/gen/']},
+  {
+    ignores: [
+      '**/dist/',
+      '**/node_modules/',
+      'packages/protocol/src/gen/',
+      'target/',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
