--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -265,7 +265,7 @@
       'time=2026-12-04T05:00:00.000Z level=warn event=store_lost instance=a code=platform_unavailable ageMs=300',
       'time=2026-12-04T05:00:01.000Z level=warn event=store_lost instance=b ageMs=200',
       'time=2026-12-04T05:00:02.000Z level=info event=server_removed instance=b server=i-1',
-      'time=2026-12-04T05:00:03.000Z level=info event=request instance=a id=r1 route=chat customer=c1 priority=0 status=502 code=answer_garbled reason="no answer: truncated" servers="i-0,i-1" attempts="refused_by_server,truncated" totalMs=1500 deadlineMs=8000 promptTokens=1400 home=false unreadTokens=1200 expectedReadMs=24 expectedEndMs=800 version=7 knowledgeAgeMs=120',
+      'time=2026-12-04T05:00:03.000Z level=info event=request instance=a id=r1 route=chat customer=c1 priority=0 status=502 code=answer_garbled reason="no answer: truncated" servers="i-0,i-1" attempts="refused_by_server,truncated" totalMs=1500 deadlineMs=8000 promptTokens=1400 home=false unreadTokens=1200 copiedTokens=150 expectedReadMs=24 expectedEndMs=800 version=7 knowledgeAgeMs=120',
       'time=2026-12-04T05:00:30.000Z level=info event=server_removed instance=b server=i-0',
       'no pairs at all',
     ].join('\n');
@@ -277,6 +277,7 @@
       assert.match(rows[0]!, /05:00:01\.500Z a took the request/);
       assert.match(rows[0]!, /priority 0, 8000 ms left; configuration 7/);
       assert.match(rows[1]!, /1200 of 1400 tokens to read/);
+      assert.match(rows[1]!, /150 copied from another server/);
       assert.match(rows[2]!, /i-0: refused_by_server, the server stated/);
       assert.match(rows[3]!, /i-1: truncated, the connection ended/);
       assert.match(rows[4]!, /ended with 502 \(answer_garbled\) after 1500 ms/);
--- a/packages/cli/src/request_story.ts
+++ b/packages/cli/src/request_story.ts
@@ -88,9 +88,11 @@
     request['home'] === 'true'
       ? 'where its shared parts gather'
       : 'away from where its shared parts gather';
+  const copied = Number(request['copiedTokens'] ?? 0);
+  const copy = copied > 0 ? `, ${copied} copied from another server` : '';
   return [
     `  placed ${place}: ${request['unreadTokens']} of ` +
-      `${request['promptTokens']} tokens to read, first event expected after ` +
+      `${request['promptTokens']} tokens to read${copy}, first event expected after ` +
       `${request['expectedReadMs']} ms, end after ${request['expectedEndMs']} ms`,
   ];
 }
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -10,9 +10,6 @@
   ModelPart,
 } from './engine.js';
 export type {Burst, Crash, RequestKind} from './load_model.js';
+export type {KindResult} from './credit_ledger.js';
 export {runExperiment} from './run_experiment.js';
-export type {
-  ExperimentCase,
-  ExperimentResult,
-  KindResult,
-} from './run_experiment.js';
+export type {ExperimentCase, ExperimentResult} from './run_experiment.js';
--- a/packages/experiment/src/load_model.ts
+++ b/packages/experiment/src/load_model.ts
@@ -1,5 +1,6 @@
 /** Described load: kinds of requests with shared prompts, and bursts of them. */
 import type {RandomSource} from '@buckthornbeam/shared';
+import type {ModelPart} from './engine.js';
 
 /** A size with a lognormal spread. */
 export interface SizeRange {
@@ -164,3 +165,13 @@
   }
   return requests.sort((a, b) => a.atMs - b.atMs);
 }
+
+/** Lists the parts of a prompt with the identity of all that come before. */
+export function listModelParts(request: LoadRequest): ModelPart[] {
+  let key = '';
+  return request.parts.map(({id, tokens}, index) => {
+    key += `/${id}`;
+    const isOwn = index === request.parts.length - 1;
+    return {key: isOwn ? '' : key, tokens};
+  });
+}
