feat(gateway): request lines have the route's priority and send times

The line had the priority of the customer, else of the route. It could not tell whether an urgent route was sent as such, nor line up requests at a server by the time they were sent.

--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -188,6 +188,7 @@
     log.route = route.name;
     log.customer = customer?.name;
     log.priority = customer?.priority ?? route.priority;
+    log.routePriority = route.priority;
     return {
       metadata,
       route,
@@ -206,6 +207,7 @@
     route?: string;
     customer?: string | undefined;
     priority?: number;
+    routePriority?: number;
     bodyBytes?: number;
     report?: RelayReport;
     error?: RouterError;
@@ -233,12 +235,14 @@
       route,
       customer: log.customer,
       priority: log.priority,
+      routePriority: log.routePriority,
       status: answer.status,
       code,
       reason: error?.message,
       retryAfterMs: error?.retryAfterMs,
       servers: report?.servers.join(','),
       attempts: report?.reasons.join(','),
+      sentMs: report?.sentMs.map(ms => Math.round(ms)).join(','),
       firstByteMs: report?.firstByteMs && Math.round(report.firstByteMs),
       totalMs: Math.round(totalMs),
       deadlineMs: log.metadata?.deadlineMs,
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -56,6 +56,8 @@
   servers: string[];
   /** Reason at the end of each attempt, in order. */
   reasons: string[];
+  /** Times at which the attempts were sent, in milliseconds after the arrival. */
+  sentMs: number[];
   /** Placement of the last attempt, if it was a generation. */
   placement: EnginePlacement | undefined;
   /** Time until the first event or the complete answer, in milliseconds. */
@@ -113,6 +115,7 @@
   const report: RelayReport = {
     servers: [],
     reasons: [],
+    sentMs: [],
     placement: undefined,
     firstByteMs: undefined,
     error: undefined,
@@ -254,6 +257,7 @@
     const {customer} = request;
     const tracking: {endAnswer?: () => void} = {};
     report.servers.push(server.id);
+    report.sentMs.push(clock.now() - receivedAt);
     report.placement = selected.placement;
     const attempt = startAttempt({
       agent: context.connections.agent,
