test(gateway): the order of service over priorities of customers and routes, failing

What ranks a request moves into state/request_urgency.ts, as it was: the customer's priority replaces the route's. The log line gets the urgency that servers receive. The experiment gets customers with priorities; without them, as until now, it could not show the fault.

--- a/packages/experiment/__tests__/experiment.spec.ts
+++ b/packages/experiment/__tests__/experiment.spec.ts
@@ -117,6 +117,23 @@
     );
   });
 
+  // TIER: with customers that have priorities, the most urgent kind was served worst.
+  it('serves urgent kinds no worse than the least urgent in crashes between bursts, also by customers with priorities', () => {
+    const smallCase = buildSmallCase({
+      ...cases['crash-between-bursts']!,
+      customerPriorities: [0, 1, 1, 1],
+    });
+    for (const seed of [1, 2, 3]) {
+      const result = runExperiment(smallCase, seed);
+      const [brief, draft, reply] = ['brief', 'draft', 'reply'].map(name => {
+        const {earned, owed} = findKind(result, name);
+        return earned / owed;
+      });
+      assert.ok(draft! >= brief!, `seed ${seed}: ${draft} below ${brief}`);
+      assert.ok(reply! >= brief!, `seed ${seed}: ${reply} below ${brief}`);
+    }
+  });
+
   it('records exactly one result for every request', () => {
     const smallCase = buildSmallCase(cases['crash-between-bursts']!);
     const result = runExperiment({...smallCase, durationMs: 10_000}, 2);
--- a/packages/experiment/src/caller_model.ts
+++ b/packages/experiment/src/caller_model.ts
@@ -166,7 +166,7 @@
     }
 
     const job: EngineJob = {
-      urgency: kind.priority,
+      urgency: fleet.rank(request).level,
       blocks: listPromptBlocks(request),
       outputTokens: request.outputTokens,
       ...(source ? {copySource: source} : {}),
--- a/packages/experiment/src/cases.ts
+++ b/packages/experiment/src/cases.ts
@@ -76,6 +76,7 @@
   profile: engineProfile,
   stepTimeRatios: [1, 1, 1.3],
   kinds: [brief, draft, reply],
+  customerPriorities: [],
   bursts: [],
   crashes: [],
   durationMs: 24_000,
@@ -91,6 +92,12 @@
     ...fleet,
     bursts: [{kind: 'reply', atMs: 6000, durationMs: 6000, rateRatio: 4}],
   },
+  /** The same, from customers with priorities of their own. */
+  'burst-of-replies-by-customers': {
+    ...fleet,
+    customerPriorities: [0, 1, 1, 1],
+    bursts: [{kind: 'reply', atMs: 6000, durationMs: 6000, rateRatio: 4}],
+  },
   /** Many long documents, most of them not yet in a KV cache. */
   'burst-of-briefs': {
     ...fleet,
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -3,6 +3,7 @@
  * and exchange load reports and prefix locations by gossip, without a network.
  */
 import {createPrefixLocations} from '@buckthornbeam/decisions';
+
 import type {GossipRecord} from '@buckthornbeam/membership';
 import {
   GOSSIP_ROUND_MS,
@@ -11,17 +12,21 @@
   createServerActivity,
   createServerLoads,
   createServerSelection,
+  getUrgencyRanks,
 } from '@buckthornbeam/gateway';
 import type {
   GossipDatagram,
   GossipNode,
   TrackedServer,
+  Customer,
   RequestMetadata,
+  RequestUrgency,
   Route,
   SelectedServer,
   ServerSelection,
   Service,
 } from '@buckthornbeam/gateway';
+import {hashToUint32} from '@buckthornbeam/shared';
 import type {RandomSource} from '@buckthornbeam/shared';
 import type {EventQueue} from './event_queue.js';
 import {createSimulatedEngine} from './engine_model.js';
@@ -35,6 +40,9 @@
   instances: number;
   servers: number;
   profile: EngineProfile;
+  kinds: readonly RequestKind[];
+  /** Priorities of the customers, who send equally many requests; may be empty. */
+  customerPriorities: readonly number[];
   /**
    * Ratios of step times to those of the profile, assigned to the servers in
    * rotation.
@@ -54,6 +62,8 @@
 export interface SimulatedFleet {
   readonly instances: readonly SimulatedInstance[];
   readonly engines: ReadonlyMap<string, SimulatedEngine>;
+  /** Ranks a request by the priorities of its kind and customer. */
+  rank(request: LoadRequest): RequestUrgency;
   /** Selects a server as `instance` does; undefined if it finds none now. */
   select(
     instance: SimulatedInstance,
@@ -229,6 +239,24 @@
     return instance;
   }
 
+  const routes = new Map(
+    options.kinds.map(kind => [kind.name, buildRoute(kind)]),
+  );
+  const customers = options.customerPriorities.map(
+    (priority, index): Customer => ({name: `customer-${index}`, priority}),
+  );
+  const ranks = getUrgencyRanks({
+    routes: [...routes.values()],
+    customersByKey: new Map(customers.map(item => [item.name, item])),
+  });
+
+  function rankRequest({id, kind}: LoadRequest): RequestUrgency {
+    return ranks.rank(
+      routes.get(kind.name)!,
+      customers[hashToUint32(id) % customers.length],
+    );
+  }
+
   const instances = instanceIds.map(createInstance);
   const instancesByAddress = new Map(
     instances.map(instance => [instance.id, instance]),
@@ -279,13 +307,19 @@
   return {
     instances,
     engines,
+    rank: rankRequest,
     select: (instance, request, remainingMs, excluded) => {
-      const {targetMs, pauseMs, priority} = request.kind;
+      const {targetMs, pauseMs} = request.kind;
       return instance.selection.select(
-        buildRoute(request.kind),
+        routes.get(request.kind.name)!,
         buildMetadata(request),
         excluded,
-        {targetMs, pauseMs, remainingMs, priority},
+        {
+          targetMs,
+          pauseMs,
+          remainingMs,
+          urgencyPosition: rankRequest(request).position,
+        },
         eventQueue.now,
       );
     },
--- a/packages/experiment/src/run_experiment.ts
+++ b/packages/experiment/src/run_experiment.ts
@@ -18,6 +18,8 @@
   profile: EngineProfile;
   stepTimeRatios: readonly number[];
   kinds: readonly RequestKind[];
+  /** Priorities of the customers, who send equally many requests; may be empty. */
+  customerPriorities: readonly number[];
   bursts: readonly Burst[];
   crashes: readonly Crash[];
   durationMs: number;
--- a/packages/gateway/__tests__/caller_server.spec.ts
+++ b/packages/gateway/__tests__/caller_server.spec.ts
@@ -98,7 +98,11 @@
       maximumAnswerBytes: 2 * BODY_BYTES,
       random: Math.random,
     },
-    grantAccess: async () => ({route, customer: undefined}),
+    grantAccess: async () => ({
+      route,
+      customer: undefined,
+      urgency: {level: 0, position: 0},
+    }),
     getLimits: () => configuration.limits,
     describeClusterState: () => ({}),
     maximumOpenRequests: 100,
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -142,6 +142,7 @@
       },
       route,
       customer: undefined,
+      urgency: {level: 0, position: 0},
       method: 'POST',
       url: '/a/',
       headers: ['Host', 'host', 'Content-Length', '0'],
--- a/packages/gateway/src/http/access.ts
+++ b/packages/gateway/src/http/access.ts
@@ -2,6 +2,8 @@
 import {RouterError} from '@buckthornbeam/shared';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {ClusterState} from '../state/cluster_state.js';
+import {getUrgencyRanks} from '../state/request_urgency.js';
+import type {RequestUrgency} from '../state/request_urgency.js';
 import {getRouteTable} from '../state/route_table.js';
 
 export interface AccessOptions {
@@ -23,6 +25,7 @@
   route: Route;
   /** Undefined if the route or the configuration requires no API key. */
   customer: Customer | undefined;
+  urgency: RequestUrgency;
 }
 
 /** Leaves time for the way of an answer to the caller. */
@@ -68,8 +71,13 @@
       : refuseStale('the configuration may be outdated');
   }
   const {customersByKey} = configuration;
+  const ranks = getUrgencyRanks(configuration);
   if (!customersByKey || route.isPublic) {
-    return {route, customer: undefined};
+    return {
+      route,
+      customer: undefined,
+      urgency: ranks.rank(route, undefined),
+    };
   }
   const customer =
     metadata.apiKey === undefined
@@ -85,5 +93,5 @@
       `the keys were last confirmed ${Math.round(ageMs)} ms ago`,
     );
   }
-  return {route, customer};
+  return {route, customer, urgency: ranks.rank(route, customer)};
 }
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -184,15 +184,17 @@
     bufferedBytes += body.length;
     log.bodyBytes = body.length;
     assertCapacity();
-    const {route, customer} = await options.grantAccess(metadata);
+    const {route, customer, urgency} = await options.grantAccess(metadata);
     log.route = route.name;
     log.customer = customer?.name;
     log.priority = customer?.priority ?? route.priority;
     log.routePriority = route.priority;
+    log.urgency = urgency.level;
     return {
       metadata,
       route,
       customer,
+      urgency,
       method,
       url,
       headers: rawHeaders,
@@ -208,6 +210,7 @@
     customer?: string | undefined;
     priority?: number;
     routePriority?: number;
+    urgency?: number;
     bodyBytes?: number;
     report?: RelayReport;
     error?: RouterError;
@@ -236,6 +239,7 @@
       customer: log.customer,
       priority: log.priority,
       routePriority: log.routePriority,
+      urgency: log.urgency,
       status: answer.status,
       code,
       reason: error?.message,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,8 @@
 export type {GossipNode, GossipNodeOptions} from './peers/gossip_node.js';
 export type {GossipDatagram} from './peers/message_builder.js';
 export {selectEndToEnd} from './relay/caller_answer.js';
+export {getUrgencyRanks} from './state/request_urgency.js';
+export type {RequestUrgency, UrgencyRanks} from './state/request_urgency.js';
 export type {TrackedServer} from './state/server_entries.js';
 export {createServerActivity} from './state/server_activity.js';
 export {createServerLoads} from './state/server_loads.js';
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -10,6 +10,7 @@
 import {RouteKind} from '../model.js';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
+import type {RequestUrgency} from '../state/request_urgency.js';
 import type {RepeatBudgets} from '../state/repeat_budgets.js';
 import type {ServerActivity} from '../state/server_activity.js';
 import type {
@@ -40,6 +41,7 @@
   metadata: RequestMetadata;
   route: Route;
   customer: Customer | undefined;
+  urgency: RequestUrgency;
   method: string;
   url: string;
   headers: RawHeaders;
@@ -80,8 +82,6 @@
  */
 const SLOW_SERVER_RATIO = 0.4;
 const UNRESPONSIVE_POLL_MS = 100;
-/** Highest rank in the urgency header of backend servers; 0 is the most urgent. */
-const LEAST_URGENT_RANK = 9;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** Whether the request may run on more than one server. */
@@ -101,7 +101,6 @@
   const {clock, selection, activity, budgets} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
-  const priority = request.customer?.priority ?? route.priority;
   const timeLimitMs = Math.min(
     metadata.deadlineMs ?? Infinity,
     route.timeoutMs,
@@ -171,7 +170,7 @@
           targetMs: route.targetLatencyMs,
           pauseMs: route.eventPauseMs,
           remainingMs: deadlineAt - now,
-          priority,
+          urgencyPosition: request.urgency.position,
         },
         now,
       );
@@ -269,9 +268,7 @@
         remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
         serverId: server.id,
         customerName: customer?.name,
-        urgency: service.engine
-          ? Math.min(LEAST_URGENT_RANK, Math.max(0, priority))
-          : undefined,
+        urgency: service.engine ? request.urgency.level : undefined,
         copySource: selected.copySource,
         lastEventId,
       }),
--- a/packages/gateway/src/state/engine_request.ts
+++ b/packages/gateway/src/state/engine_request.ts
@@ -10,17 +10,18 @@
   pauseMs: number | undefined;
   /** Time until the deadline of the whole answer, in milliseconds. */
   remainingMs: number;
-  /** 0 is the highest. */
-  priority: number;
+  /** Position in the order of urgency: 0 is the first, 1 the last. */
+  urgencyPosition: number;
 }
 
 /**
- * Highest ratio of the expected duration to the time until the deadline at
- * which an answer is still started, by priority from the highest. Estimates are
- * rough, so the highest priority is refused only when it clearly misses its
- * deadline; lower priorities are refused earlier to leave capacity to it.
+ * Highest ratios of the expected duration to the time until the deadline at
+ * which the most and the least urgent answer is still started. Estimates are
+ * rough, so the most urgent one is refused only when it clearly misses its
+ * deadline; others are refused earlier to leave capacity to it.
  */
-const MAXIMUM_DURATION_RATIOS = [1.2, 1, 0.8];
+const MOST_URGENT_DURATION_RATIO = 1.2;
+const LEAST_URGENT_DURATION_RATIO = 0.8;
 
 /** Sums all blocks but the last, which belongs to the request or session alone. */
 function countSharedTokens(metadata: GenerationMetadata): number {
@@ -30,15 +31,14 @@
 }
 
 /**
- * Returns the highest ratio of expected duration to remaining time at which an
- * answer of this priority is started.
+ * Computes the highest ratio of expected duration to remaining time at which an
+ * answer is started, by its position in the order of urgency.
  */
-export function getMaximumDurationRatio(priority: number): number {
-  const rank = Math.min(
-    Math.max(0, priority),
-    MAXIMUM_DURATION_RATIOS.length - 1,
+export function computeMaximumDurationRatio(urgencyPosition: number): number {
+  return (
+    MOST_URGENT_DURATION_RATIO +
+    urgencyPosition * (LEAST_URGENT_DURATION_RATIO - MOST_URGENT_DURATION_RATIO)
   );
-  return MAXIMUM_DURATION_RATIOS[Math.floor(rank)]!;
 }
 
 export function buildEngineRequest(
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -24,7 +24,10 @@
   Service,
   ServiceConfiguration,
 } from '../model.js';
-import {buildEngineRequest, getMaximumDurationRatio} from './engine_request.js';
+import {
+  buildEngineRequest,
+  computeMaximumDurationRatio,
+} from './engine_request.js';
 import type {PlacementLimits} from './engine_request.js';
 import type {ClusterState} from './cluster_state.js';
 import type {ServerActivity} from './server_activity.js';
@@ -320,7 +323,7 @@
       const {serverId, prefillTokens, expectedEndMs} = placement;
       if (
         expectedEndMs >
-        limits.remainingMs * getMaximumDurationRatio(limits.priority)
+        limits.remainingMs * computeMaximumDurationRatio(limits.urgencyPosition)
       ) {
         return undefined;
       }
