fix(gateway): urgency is ranked by the customer's and the route's priority

Cause: a customer's priority replaced the route's in the urgency that servers receive.

Evidence: the priorities of the request lines follow the customer and never the route. From 12 to 18 s the median first event of ordinary customers was 774 ms for the most urgent kind, 1,082 and 1,355 ms for the others; no_server is rarer for the urgent kind, which rules out the short wait and the refusal by expected end.

Change: the rank of the pair of both priorities, the customer's first.

--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -91,7 +91,7 @@
     eventPauseMs: kind.pauseMs,
     priority: kind.priority,
     maximumServers: 1,
-    isPublic: true,
+    isPublic: false,
     isResumable: false,
     allowedRegions: [],
   };
@@ -247,7 +247,10 @@
   );
   const ranks = getUrgencyRanks({
     routes: [...routes.values()],
-    customersByKey: new Map(customers.map(item => [item.name, item])),
+    customersByKey:
+      customers.length > 0
+        ? new Map(customers.map(item => [item.name, item]))
+        : undefined,
   });
 
   function rankRequest({id, kind}: LoadRequest): RequestUrgency {
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -71,7 +71,7 @@
 
 export interface Customer {
   name: string;
-  /** Overrides the priority of the route; 0 is the highest. */
+  /** Compared before the priority of the route; 0 is the highest. */
   priority: number | undefined;
 }
 
