feat(gateway): generations that lose their server are logged with their blocks

The log could not tell whether a common block of the prompts, load or repeats ended servers one after the other: it lacked the blocks of cut requests and how far their answers were.

--- a/packages/gateway/__tests__/caller_server.spec.ts
+++ b/packages/gateway/__tests__/caller_server.spec.ts
@@ -97,6 +97,7 @@
       }),
       maximumAnswerBytes: 2 * BODY_BYTES,
       random: Math.random,
+      onCut: () => undefined,
     },
     grantAccess: async () => ({
       route,
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -164,6 +164,7 @@
       }),
       maximumAnswerBytes: 1_000_000,
       random: () => 0.5,
+      onCut: () => undefined,
     },
   );
   connections.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import {createGossipTask} from './peers/gossip_task.js';
 import {createClusterStateExchange} from './peers/cluster_state_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
+import {createCutAttempts} from './relay/cut_attempts.js';
 import {createServerConnections} from './relay/server_connections.js';
 import type {GatewaySettings} from './settings.js';
 import {createKeyStaleness} from './state/key_staleness.js';
@@ -226,6 +227,8 @@
     countInstances: now => listInstances(now).length,
   });
 
+  const cutAttempts = createCutAttempts({logger});
+
   const authoritativeAgeMs = computeAuthoritativeAge(settings.store.applyMs);
 
   async function grantAccess(
@@ -253,6 +256,7 @@
       budgets: repeatBudgets,
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
       random: Math.random,
+      onCut: attempt => cutAttempts.handle(attempt),
     },
     grantAccess,
     getLimits: () => clusterState.getConfiguration()?.limits,
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -35,6 +35,10 @@
   reason: string;
   /** No connection to the server could be established. */
   isUnreachable: boolean;
+  /** The connection to the server was lost before the answer was complete. */
+  isCut: boolean;
+  /** Complete events of a stream that were received. */
+  eventCount: number;
   /** Present if a valid head was received. */
   head?: AnswerHead;
   /** Absent if the body was sent to the sink. */
@@ -63,6 +67,8 @@
   maximumBodyBytes: number;
   /** Present for routes whose answers are event streams. */
   sink?: StreamSink;
+  /** Called when a valid head arrives. */
+  onHead?: () => void;
   /** Called when the server sends headers or data; of a stream, a whole event. */
   onActivity?: () => void;
 }
@@ -122,6 +128,7 @@
   let head: AnswerHead | undefined;
   let hasSentHead = false;
   let isStream = false;
+  let eventCount = 0;
   let settle: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => {
     settle = resolve;
@@ -130,12 +137,14 @@
   function endAttempt(
     end: AttemptEnd,
     reason: string,
-    isUnreachable = false,
+    {isUnreachable = false, isCut = false} = {},
   ): void {
     settle({
       end,
       reason,
       isUnreachable,
+      isCut,
+      eventCount,
       ...(head ? {head} : {}),
       ...(isStream ? {} : {body: Buffer.concat(chunks)}),
     });
@@ -167,11 +176,13 @@
       return;
     }
     head = received;
+    options.onHead?.();
     isStream = sink !== undefined && isSuccess(status);
   }
 
   function relayEvents(bytes: Buffer): void {
     const events = splitter.push(bytes);
+    eventCount += events.length;
     if (events.length > 0) {
       onActivity();
     }
@@ -212,11 +223,11 @@
       return;
     }
     if (isStream && splitter.countBuffered() > 0) {
-      endAttempt(AttemptEnd.BROKEN, 'partial_event');
+      endAttempt(AttemptEnd.BROKEN, 'partial_event', {isCut: true});
       return;
     }
     if (isStream && !hasSentHead) {
-      endAttempt(AttemptEnd.BROKEN, 'empty_stream');
+      endAttempt(AttemptEnd.BROKEN, 'empty_stream', {isCut: true});
       return;
     }
     endAttempt(AttemptEnd.COMPLETE, 'complete');
@@ -230,7 +241,10 @@
     }
     const code = (error as NodeJS.ErrnoException).code ?? error.name;
     const end = isSent ? AttemptEnd.BROKEN : AttemptEnd.NOT_RUN;
-    endAttempt(end, code.toLowerCase(), !isSent);
+    endAttempt(end, code.toLowerCase(), {
+      isUnreachable: !isSent,
+      isCut: isSent,
+    });
   }
 
   const exchange: Exchange = startExchange(options, {
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -19,6 +19,7 @@
 } from '../state/server_selection.js';
 import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {Attempt, AttemptResult, StreamSink} from './attempt.js';
+import type {CutAttempt} from './cut_attempts.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {computeRetryAfter} from './retry_after.js';
 import type {ServerConnections} from './server_connections.js';
@@ -34,6 +35,8 @@
   /** Largest answer that is buffered, in bytes. */
   maximumAnswerBytes: number;
   random: () => number;
+  /** Called when the connection of a generation to its server is lost. */
+  onCut: (attempt: CutAttempt) => void;
 }
 
 /** A request with complete body, route and customer. */
@@ -254,7 +257,7 @@
   async function runAttempt(selected: SelectedServer): Promise<AttemptResult> {
     const {server, service, requestHandle} = selected;
     const {customer} = request;
-    const tracking: {endAnswer?: () => void} = {};
+    const tracking: {endAnswer?: () => void; headAt?: number} = {};
     report.servers.push(server.id);
     report.sentMs.push(clock.now() - receivedAt);
     report.placement = selected.placement;
@@ -275,6 +278,7 @@
       requestId: metadata.id,
       dialect: context.dialect,
       maximumBodyBytes: context.maximumAnswerBytes,
+      onHead: () => (tracking.headAt = clock.now()),
       onActivity: () => activity.recordActivity(server.id, clock.now()),
       ...(isStream ? {sink: createSink(selected, tracking)} : {}),
     });
@@ -287,6 +291,17 @@
     tracking.endAnswer?.();
     requestHandle.end();
     report.reasons.push(result.reason);
+    if (result.isCut && service.engine && metadata.generation) {
+      context.onCut({
+        requestId: metadata.id,
+        server,
+        blocks: metadata.generation.blocks,
+        reason: result.reason,
+        eventCount: result.eventCount,
+        headAt: tracking.headAt,
+        at: clock.now(),
+      });
+    }
     return result;
   }
 
