fix(gateway): prompt blocks that end servers are quarantined on all instances

Cause: a lost connection counted against its server only. The request that had ended it was forgotten, and the next one with the same block was sent to the next server. No instance saw more than one crash in eight, and none told others.

At each crash one request had got the head of its answer 50 to 90 ms before and no event; all of these share two blocks, one of which sound requests have too. Ruled out: load (the servers end at low load as well) and repeats (the route allows one attempt).

Change: crashes confirmed by a refused connection are evidence against the blocks of requests whose answer had not begun; an answer that begins clears its blocks; what two or three independent crashes have in common is refused with a final error on all instances, by news in the gossip.

--- a/packages/cli/src/request_timeline.ts
+++ b/packages/cli/src/request_timeline.ts
@@ -52,6 +52,7 @@
   foreign_answer: 'the answer belongs to another request',
   other_server: 'another server now uses the address',
   partial_event: 'the stream ended within an event',
+  prompt_quarantined: 'its prompt was quarantined while it ran',
   refused_by_server: 'the server stated that it did not run the request',
   silent_server: 'the server sent nothing for a second',
   slow_server: 'the server took too long, so another one was tried',
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,20 @@
 export {createPrefixTable} from './prefix_table.js';
 export type {PrefixTable, Prompt} from './prefix_table.js';
 export type {QueuedRequest} from './queued_request.js';
+export {
+  PromptVerdict,
+  createPromptQuarantine,
+  isCovered,
+} from './prompt_quarantine.js';
+export type {
+  PromptIdentity,
+  PromptQuarantine,
+  PromptQuarantineOptions,
+  QuarantineEntry,
+  QuarantineNews,
+  QuarantineStatus,
+} from './prompt_quarantine.js';
+export type {CrashReport} from './crash_evidence.js';
 export {createRetryBudget} from './retry_budget.js';
 export type {RetryBudget} from './retry_budget.js';
 export {createServerLimit} from './server_limit.js';
--- a/packages/decisions/src/update_queue.ts
+++ b/packages/decisions/src/update_queue.ts
@@ -16,6 +16,7 @@
   add(updates: readonly Update[]): void;
   /** Returns the updates for the next message. */
   take(): Update[];
+  isEmpty(): boolean;
 }
 
 const DEFAULT_COPIES = 2;
@@ -41,5 +42,6 @@
       waiting = waiting.filter(item => item.copiesLeft > 0);
       return taken.map(item => item.update);
     },
+    isEmpty: () => waiting.length === 0,
   };
 }
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -2,7 +2,10 @@
  * Simulates a fleet: instances that select servers with the gateway's own code
  * and exchange load reports and prefix locations by gossip, without a network.
  */
-import {createPrefixLocations} from '@buckthornbeam/decisions';
+import {
+  createPrefixLocations,
+  createPromptQuarantine,
+} from '@buckthornbeam/decisions';
 
 import type {GossipRecord} from '@buckthornbeam/membership';
 import {
@@ -227,6 +230,10 @@
       seedAddresses: instanceIds.slice(0, 3),
       loads,
       locations,
+      quarantine: createPromptQuarantine({
+        selfId: id,
+        listInstances: () => instanceIds,
+      }),
       random: nextFloat,
     });
     const instance = {
--- a/packages/gateway/__tests__/caller_server.spec.ts
+++ b/packages/gateway/__tests__/caller_server.spec.ts
@@ -19,6 +19,7 @@
   createFilledClusterState,
   createRoute,
   createServerEntry,
+  createTestGuard,
   silentLogger,
   testDialect,
 } from './support/fixtures.js';
@@ -97,7 +98,7 @@
       }),
       maximumAnswerBytes: 2 * BODY_BYTES,
       random: Math.random,
-      onCut: () => undefined,
+      quarantine: createTestGuard(),
     },
     grantAccess: async () => ({
       route,
@@ -115,6 +116,7 @@
       computeClusterStateAgeMs: () => 0,
       getConfigurationVersion: () => 0,
       countPeers: () => 0,
+      countQuarantined: () => 0,
     }),
   });
   await callers.start();
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -22,6 +22,7 @@
   createFilledClusterState,
   createRoute,
   createServerEntry,
+  createTestGuard,
   testDialect,
 } from './support/fixtures.js';
 
@@ -164,7 +165,7 @@
       }),
       maximumAnswerBytes: 1_000_000,
       random: () => 0.5,
-      onCut: () => undefined,
+      quarantine: createTestGuard(),
     },
   );
   connections.close();
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -99,6 +99,7 @@
       computeClusterStateAgeMs: () => 500,
       getConfigurationVersion: () => 7,
       countPeers: () => 5,
+      countQuarantined: () => 2,
     });
     metrics.countRequest('route', 200, 'ok');
     metrics.observeFirstByte('route', 120);
@@ -150,6 +151,7 @@
     liveness: [],
     silentHashes: [],
     knownHashes: [],
+    quarantineNews: [],
   };
 
   it('are decoded as encoded, an infinite age as a large one', () => {
@@ -161,6 +163,7 @@
       relayed: [{record: sender, ageMs: 5}],
       liveness: [{stateHash: 0xfffffffe, ageMs: 240}],
       silentHashes: [0xfffffff9],
+      quarantineNews: [0x40000001, 0xfffffff1],
       knownHashes: [0xfffffffc],
     };
     const envelope = {message, forwardTo: [5, 0xfffffffb], hopDigest: 77};
--- a/packages/gateway/__tests__/support/fixtures.ts
+++ b/packages/gateway/__tests__/support/fixtures.ts
@@ -1,5 +1,5 @@
 /** Test data shared by the tests of the gateway. */
-import {LogLevel, createLogger} from '@buckthornbeam/shared';
+import {LogLevel, createLogger, createSystemClock} from '@buckthornbeam/shared';
 import {RouteKind} from '../../src/model.js';
 import type {
   BackendServer,
@@ -7,6 +7,9 @@
   ServiceConfiguration,
 } from '../../src/model.js';
 import type {ServerDialect} from '../../src/ports.js';
+import {createQuarantineGuard} from '../../src/relay/quarantine_guard.js';
+import type {QuarantineGuard} from '../../src/relay/quarantine_guard.js';
+import {createServerProbe} from '../../src/relay/server_probe.js';
 import {createClusterState} from '../../src/state/cluster_state.js';
 
 export const silentLogger = createLogger({level: LogLevel.SILENT});
@@ -98,6 +101,17 @@
   return clusterState;
 }
 
+/** Creates the guard of an instance without peers. */
+export function createTestGuard(): QuarantineGuard {
+  return createQuarantineGuard({
+    selfId: 'self',
+    listInstances: () => ['self'],
+    probe: createServerProbe(),
+    clock: createSystemClock(),
+    logger: silentLogger,
+  });
+}
+
 /** A dialect with short header names that only the tests use. */
 export const testDialect: ServerDialect = {
   buildHeaders: (received, fields) => [
--- a/packages/gateway/__tests__/support/gossip_fleet.ts
+++ b/packages/gateway/__tests__/support/gossip_fleet.ts
@@ -1,6 +1,9 @@
 /** A fleet of gossip nodes on simulated time and a network that loses datagrams. */
-import {createPrefixLocations} from '@buckthornbeam/decisions';
-import type {PrefixLocations} from '@buckthornbeam/decisions';
+import {
+  createPrefixLocations,
+  createPromptQuarantine,
+} from '@buckthornbeam/decisions';
+import type {PrefixLocations, PromptQuarantine} from '@buckthornbeam/decisions';
 import {createRandom} from '@buckthornbeam/shared';
 import {encodeGossip} from '../../src/peers/gossip_message.js';
 import {
@@ -38,6 +41,7 @@
   dataCentre: string;
   loads: ServerLoads;
   locations: PrefixLocations;
+  quarantine: PromptQuarantine;
   node: GossipNode;
   isRunning: boolean;
   /** Receives and sends nothing, but runs. */
@@ -108,6 +112,10 @@
       },
     });
     instance.locations = createPrefixLocations({maximumLocations: 100});
+    instance.quarantine = createPromptQuarantine({
+      selfId: instance.id,
+      listInstances: () => instances.map(({id}) => id),
+    });
     instance.node = createGossipNode({
       describeSelf: () => ({
         instanceId: instance.id,
@@ -122,6 +130,7 @@
       seedAddresses: seeds,
       loads: instance.loads,
       locations: instance.locations,
+      quarantine: instance.quarantine,
       random: nextFloat,
     });
     starts.set(instance, now + Math.floor(nextFloat() * GOSSIP_ROUND_MS));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type {GrantedAccess} from './http/access.js';
 import {createCallerServer} from './http/caller_server.js';
 import type {CallerServer} from './http/caller_server.js';
+import {createQuarantineHandler} from './http/quarantine_handler.js';
 import {createStatusHandlers} from './http/status_handlers.js';
 import {createStatusServers} from './http/status_server.js';
 import {createLogWriter} from './log_writer.js';
@@ -19,8 +20,9 @@
 import {createGossipTask} from './peers/gossip_task.js';
 import {createClusterStateExchange} from './peers/cluster_state_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
-import {createCutAttempts} from './relay/cut_attempts.js';
+import {createQuarantineGuard} from './relay/quarantine_guard.js';
 import {createServerConnections} from './relay/server_connections.js';
+import {createServerProbe} from './relay/server_probe.js';
 import type {GatewaySettings} from './settings.js';
 import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
@@ -167,6 +169,15 @@
     onFetchFailure: () => watcher.refresh(),
   });
 
+  const quarantineGuard = createQuarantineGuard({
+    selfId: settings.instanceId,
+    listInstances,
+    probe: createServerProbe(),
+    clock,
+    logger,
+  });
+  const {quarantine} = quarantineGuard;
+
   const gossip = createGossipTask({
     describeSelf: () => ({
       instanceId: settings.instanceId,
@@ -181,6 +192,7 @@
     clusterState,
     loads,
     locations,
+    quarantine,
     clock,
     logger,
     onMessage: (address, message) =>
@@ -197,6 +209,7 @@
     getConfigurationVersion: () =>
       clusterState.getConfiguration()?.version ?? 0,
     countPeers: () => gossip.table.listAlive(clock.now()).length,
+    countQuarantined: () => quarantine.list(clock.now()).length,
   });
 
   const connections = createServerConnections({
@@ -227,8 +240,6 @@
     countInstances: now => listInstances(now).length,
   });
 
-  const cutAttempts = createCutAttempts({logger});
-
   const authoritativeAgeMs = computeAuthoritativeAge(settings.store.applyMs);
 
   async function grantAccess(
@@ -255,8 +266,8 @@
       activity,
       budgets: repeatBudgets,
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
+      quarantine: quarantineGuard,
       random: Math.random,
-      onCut: attempt => cutAttempts.handle(attempt),
     },
     grantAccess,
     getLimits: () => clusterState.getConfiguration()?.limits,
@@ -298,13 +309,20 @@
     [settings.listen.addresses, handlers.answerAddresses],
     [settings.listen.peers, handlers.answerClusterState],
     ...(settings.listen.metrics
-      ? [[settings.listen.metrics, handlers.answerMetrics] as const]
+      ? [
+          [settings.listen.metrics, handlers.answerMetrics] as const,
+          [
+            settings.listen.metrics,
+            createQuarantineHandler({quarantine, clock}),
+          ] as const,
+        ]
       : []),
   ]);
 
   function runMaintenance(): void {
     keyTrust.checkSuspension();
     selection.prune();
+    quarantine.expire(clock.now());
   }
 
   async function waitForRequests(deadline: number): Promise<void> {
--- a/packages/gateway/src/http/status_server.ts
+++ b/packages/gateway/src/http/status_server.ts
@@ -10,9 +10,10 @@
   body?: string;
 }
 
-/** Answers a request by its path and query; returns undefined if it does not match. */
+/** Answers a request by its path, query and method; returns undefined if it does not match. */
 export type StatusHandler = (
   url: string,
+  method: string,
 ) => StatusAnswer | Promise<StatusAnswer> | undefined;
 
 export interface StatusServers {
@@ -34,8 +35,10 @@
 function createStatusServer(handlers: readonly StatusHandler[]): Server {
   return createServer((request, response) => {
     request.resume();
-    const url = request.url ?? '/';
-    const matched = handlers.map(handler => handler(url)).find(item => item);
+    const {url = '/', method = 'GET'} = request;
+    const matched = handlers
+      .map(handler => handler(url, method))
+      .find(item => item);
     Promise.resolve(matched ?? {status: 404})
       .catch(() => ({status: 500}) as StatusAnswer)
       .then(({status, contentType = 'application/json', body = ''}) => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,7 @@
   computeClusterStateAgeMs: () => number;
   getConfigurationVersion: () => number;
   countPeers: () => number;
+  countQuarantined: () => number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -86,6 +87,11 @@
       sources.getConfigurationVersion,
     ],
     ['buckthornbeam_peers', 'Instances heard of lately.', sources.countPeers],
+    [
+      'buckthornbeam_quarantined_prompts',
+      'Sets of prompt blocks in quarantine.',
+      sources.countQuarantined,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     const gauge: Gauge = new Gauge({
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -52,6 +52,8 @@
   silentHashes: readonly number[];
   /** State hashes of the records that the sender has. */
   knownHashes: readonly number[];
+  /** News of the prompt quarantine, packed by `encodeNews`. */
+  quarantineNews: readonly number[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -118,6 +120,8 @@
     bytesSchema,
     bytesSchema,
   ])
+  // Left out if empty.
+  .rest(bytesSchema)
   .transform(
     (row): GossipMessage => ({
       kind: row[0],
@@ -134,6 +138,7 @@
       liveness: decodeLiveness(row[11]),
       silentHashes: decodeIntegers(row[12]),
       knownHashes: decodeIntegers(row[13]),
+      quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
     }),
   );
 
@@ -278,6 +283,9 @@
       encodeLiveness(message.liveness),
       encodeIntegers(message.silentHashes),
       encodeIntegers(message.knownHashes),
+      ...(message.quarantineNews.length > 0
+        ? [encodeIntegers(message.quarantineNews)]
+        : []),
     ]);
     encodedMessages.set(message, bytes);
   }
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -2,7 +2,12 @@
  * Gossip of one instance without I/O: the caller passes in received messages and
  * the time, and sends what is returned. docs/design/gossip.md describes it.
  */
-import type {PrefixLocations} from '@buckthornbeam/decisions';
+import {createUpdateQueue} from '@buckthornbeam/decisions';
+import type {
+  PrefixLocations,
+  PromptQuarantine,
+  QuarantineNews,
+} from '@buckthornbeam/decisions';
 import {createGossipTable} from '@buckthornbeam/membership';
 import type {
   GossipMember,
@@ -17,7 +22,13 @@
 import {buildDatagrams, createMessageBuilder} from './message_builder.js';
 import type {GossipDatagram, GossipState} from './message_builder.js';
 import {createRecordExchange} from './record_exchange.js';
-import {createRelayQueues} from './relay_queues.js';
+import {decodeNews, encodeNews} from './quarantine_news.js';
+import {
+  MAXIMUM_WAITING_NEWS,
+  NEWS_PER_MESSAGE,
+  createRelayQueues,
+} from './relay_queues.js';
+import type {LearnedContent} from './relay_queues.js';
 
 export interface GossipNodeOptions {
   /** Current record of this instance; the node adds the round. */
@@ -26,6 +37,7 @@
   seedAddresses: readonly string[];
   loads: ServerLoads;
   locations: PrefixLocations;
+  quarantine: Pick<PromptQuarantine, 'acceptNews' | 'takeNews' | 'list'>;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -69,6 +81,8 @@
 /** Rounds between two lists of live instances, by group and of the fleet. */
 const GROUP_LIVENESS_ROUNDS = 2;
 const FLEET_LIVENESS_ROUNDS = 8;
+/** Rounds between two lists of quarantine entries, for instances that started. */
+const ENTRY_ROUNDS = 8;
 /** Live instances in one message; longer lists are sent in parts. */
 const LIVENESS_PER_MESSAGE = 250;
 
@@ -84,7 +98,8 @@
 }
 
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
-  const {describeSelf, describeState, loads, locations, random} = options;
+  const {describeSelf, describeState, loads, locations, quarantine, random} =
+    options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -100,6 +115,10 @@
   const {role} = view;
   const records = createRecordExchange({table, messages, random});
   const relays = createRelayQueues(table);
+  const ownNews = createUpdateQueue<QuarantineNews>({
+    maximumTaken: NEWS_PER_MESSAGE,
+    maximumWaiting: MAXIMUM_WAITING_NEWS,
+  });
   let roundCount = 0;
   let reportedAt = -Infinity;
   /** Change of the load, and own state hash, in the last report. */
@@ -112,14 +131,35 @@
     return ids.flatMap(id => table.findAddress(id) ?? []);
   }
 
+  /** Adds the quarantine entries to the content of a message when they are due. */
+  function addEntries<Content extends Pick<GossipMessage, 'quarantineNews'>>(
+    content: Content,
+    now: number,
+  ): Content {
+    const entries =
+      roundCount % ENTRY_ROUNDS === 0
+        ? quarantine
+            .list(now)
+            .slice(-NEWS_PER_MESSAGE)
+            .map(entry => ({...entry, kind: 'entry'}) as const)
+        : [];
+    return {
+      ...content,
+      quarantineNews: [...content.quarantineNews, ...encodeNews(entries, now)],
+    };
+  }
+
   function buildGroupSum(now: number): GossipDatagram[] {
-    relays.addFromMember(locations.takeUpdates());
+    relays.addFromMember({
+      locations: locations.takeUpdates(),
+      news: ownNews.take(),
+    });
     const isListDue = roundCount % GROUP_LIVENESS_ROUNDS === 0;
     const message = messages.build(GossipKind.GROUP_SUM, now, {
       groupKey: view.getOwnKey(),
       loadReport: loads.buildGroupSum(now),
       liveness: isListDue ? listLiveness(view.listPeers(now), now) : [],
-      ...relays.takeForGroups(now),
+      ...addEntries(relays.takeForGroups(now), now),
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -146,7 +186,7 @@
       loadReport: loads.buildTotals(now),
       liveness: listFleetLiveness(now),
       silentHashes: table.listSilent(now),
-      ...relays.takeForMembers(now),
+      ...addEntries(relays.takeForMembers(now), now),
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -173,6 +213,7 @@
       groupKey: view.getOwnKey(),
       loadReport: loads.buildReport(now),
       cacheLocations: locations.takeUpdates(),
+      quarantineNews: encodeNews(ownNews.take(), now),
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -187,6 +228,7 @@
     return (
       loads.getChangeCount() !== reportedChange ||
       messages.getSelfHash() !== reportedSelfHash ||
+      !ownNews.isEmpty() ||
       confirmedAt > publishedConfirmationAt + NEWER_STATE_MS
     );
   }
@@ -200,6 +242,7 @@
 
   function runRound(now: number): GossipDatagram[] {
     roundCount += 1;
+    ownNews.add(quarantine.takeNews());
     view.startRound(now);
     loads.retain(
       new Set(view.listOtherKeys()),
@@ -225,11 +268,18 @@
     now: number,
   ) => GossipDatagram[];
 
+  function acceptContent(message: GossipMessage, now: number): LearnedContent {
+    return {
+      locations: locations.acceptUpdates(message.cacheLocations, now),
+      news: quarantine.acceptNews(decodeNews(message.quarantineNews, now)),
+    };
+  }
+
   /** Accepts what a publisher sent; passes it on to the group if this one is it. */
   const acceptPublished: Handler = (message, changedIds, now) => {
     const {sender} = message;
     view.recordPublisher(message.groupKey, sender.instanceId, now);
-    const learned = locations.acceptUpdates(message.cacheLocations, now);
+    const learned = acceptContent(message, now);
     if (role.isPublishing(now)) {
       relays.addFromGroup(learned, sender, changedIds);
     }
@@ -242,12 +292,13 @@
     [GossipKind.KNOWN]: (message, _changedIds, now) =>
       records.answerKnown(message, now),
     [GossipKind.RECORDS]: () => [],
-    [GossipKind.REPORT]: ({sender, ...message}, _changedIds, now) => {
+    [GossipKind.REPORT]: (message, _changedIds, now) => {
+      const {sender} = message;
       role.recordReport(now);
       if (message.groupKey === view.getOwnKey()) {
         loads.receiveReport(sender.instanceId, message.loadReport, now);
       }
-      const learned = locations.acceptUpdates(message.cacheLocations, now);
+      const learned = acceptContent(message, now);
       if (role.isPublishing(now)) {
         relays.addFromMember(learned, sender);
       }
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -1,7 +1,7 @@
 /** Sends and receives gossip messages over a UDP socket. */
 import {createSocket} from 'node:dgram';
 import type {RemoteInfo} from 'node:dgram';
-import type {PrefixLocations} from '@buckthornbeam/decisions';
+import type {PrefixLocations, PromptQuarantine} from '@buckthornbeam/decisions';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
 import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
@@ -20,6 +20,7 @@
   clusterState: ClusterState;
   loads: ServerLoads;
   locations: PrefixLocations;
+  quarantine: PromptQuarantine;
   clock: Clock;
   logger: Logger;
   /**
@@ -64,6 +65,7 @@
     seedAddresses: options.seedAddresses,
     loads: options.loads,
     locations: options.locations,
+    quarantine: options.quarantine,
     random,
   });
   const {table} = node;
--- a/packages/gateway/src/peers/message_builder.ts
+++ b/packages/gateway/src/peers/message_builder.ts
@@ -86,6 +86,7 @@
         liveness: [],
         silentHashes: [],
         knownHashes: [],
+        quarantineNews: [],
         ...content,
       };
     },
--- a/packages/gateway/src/peers/relay_queues.ts
+++ b/packages/gateway/src/peers/relay_queues.ts
@@ -1,21 +1,31 @@
-/** Cache locations and changed records that a publisher passes on. */
+/** Cache locations, changed records and quarantine news that a publisher passes on. */
 import {
   LOCATIONS_PER_MESSAGE,
   createUpdateQueue,
 } from '@buckthornbeam/decisions';
-import type {UpdateQueue} from '@buckthornbeam/decisions';
+import type {QuarantineNews, UpdateQueue} from '@buckthornbeam/decisions';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
 import type {GossipMessage} from './gossip_message.js';
+import {encodeNews} from './quarantine_news.js';
 
 /** What a message passes on. */
-type RelayedContent = Pick<GossipMessage, 'cacheLocations' | 'relayed'>;
+type RelayedContent = Pick<
+  GossipMessage,
+  'cacheLocations' | 'relayed' | 'quarantineNews'
+>;
+
+/** What an instance learned from a message, or by itself. */
+export interface LearnedContent {
+  locations: readonly number[];
+  news: readonly QuarantineNews[];
+}
 
 export interface RelayQueues {
   /** Adds what was learned in the own group, for all instances. */
-  addFromMember(locations: readonly number[], sender?: GossipRecord): void;
+  addFromMember(learned: LearnedContent, sender?: GossipRecord): void;
   /** Adds what was learned from another group, for the own group. */
   addFromGroup(
-    locations: readonly number[],
+    learned: LearnedContent,
     sender: GossipRecord,
     changedIds: readonly string[],
   ): void;
@@ -29,11 +39,15 @@
 const RECORDS_PER_MESSAGE = 5;
 /** Changed records that wait; of more, the hellos inform the others. */
 const MAXIMUM_WAITING_RECORDS = 40;
+/** Items of quarantine news in a message, and items that wait. */
+export const NEWS_PER_MESSAGE = 12;
+export const MAXIMUM_WAITING_NEWS = 500;
 
 interface RelayQueue {
   locations: UpdateQueue<number>;
   /** Ids of instances. */
   records: UpdateQueue<string>;
+  news: UpdateQueue<QuarantineNews>;
 }
 
 export function createRelayQueues(table: GossipTable): RelayQueues {
@@ -54,6 +68,10 @@
         maximumWaiting: MAXIMUM_WAITING_RECORDS,
         takesNewest: true,
       }),
+      news: createUpdateQueue({
+        maximumTaken: NEWS_PER_MESSAGE,
+        maximumWaiting: MAXIMUM_WAITING_NEWS,
+      }),
     };
   }
 
@@ -78,11 +96,15 @@
     }
   }
 
-  function take({locations, records}: RelayQueue, now: number): RelayedContent {
+  function take(
+    {locations, records, news}: RelayQueue,
+    now: number,
+  ): RelayedContent {
     const ids = new Set(records.take());
     const members = ids.size > 0 ? table.listAlive(now) : [];
     return {
       cacheLocations: locations.take(),
+      quarantineNews: encodeNews(news.take(), now),
       relayed: members
         .filter(({record}) => ids.has(record.instanceId))
         .map(({record, lastSeenAt}) => ({
@@ -93,15 +115,17 @@
   }
 
   return {
-    addFromMember: (locations, sender) => {
+    addFromMember: ({locations, news}, sender) => {
       const ids = sender ? listUnpassed(sender) : [];
       for (const queue of [toGroups, toMembers]) {
         queue.locations.add(locations);
         queue.records.add(ids);
+        queue.news.add(news);
       }
     },
-    addFromGroup: (locations, sender, changedIds) => {
+    addFromGroup: ({locations, news}, sender, changedIds) => {
       toMembers.locations.add(locations);
+      toMembers.news.add(news);
       toMembers.records.add([...listUnpassed(sender), ...changedIds]);
     },
     takeForGroups: now => {
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -11,6 +11,7 @@
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
 import type {RequestUrgency} from '../state/request_urgency.js';
+import {buildPromptIdentity} from '../state/prompt_identity.js';
 import type {RepeatBudgets} from '../state/repeat_budgets.js';
 import type {ServerActivity} from '../state/server_activity.js';
 import type {
@@ -19,8 +20,8 @@
 } from '../state/server_selection.js';
 import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {Attempt, AttemptResult, StreamSink} from './attempt.js';
-import type {CutAttempt} from './cut_attempts.js';
 import type {CallerAnswer} from './caller_answer.js';
+import type {QuarantineGuard} from './quarantine_guard.js';
 import {computeRetryAfter} from './retry_after.js';
 import type {ServerConnections} from './server_connections.js';
 
@@ -34,9 +35,8 @@
   budgets: RepeatBudgets;
   /** Largest answer that is buffered, in bytes. */
   maximumAnswerBytes: number;
+  quarantine: QuarantineGuard;
   random: () => number;
-  /** Called when the connection of a generation to its server is lost. */
-  onCut: (attempt: CutAttempt) => void;
 }
 
 /** A request with complete body, route and customer. */
@@ -86,6 +86,18 @@
 const SLOW_SERVER_RATIO = 0.4;
 const UNRESPONSIVE_POLL_MS = 100;
 const FIRST_SERVER_ERROR_STATUS = 500;
+/** Reason of an attempt that ends because its prompt is quarantined. */
+const QUARANTINED_REASON = 'prompt_quarantined';
+
+/** What is tracked of one attempt; times are monotonic, in milliseconds. */
+interface AttemptTracking {
+  endAnswer?: () => void;
+  /** Stops the abort of the attempt when its prompt is quarantined. */
+  stopTracking?: () => void;
+  headAt?: number;
+  /** Whether the quarantine was told that the answer has begun. */
+  isAnswered?: boolean;
+}
 
 /** Whether the request may run on more than one server. */
 function isRepeatable({route}: AcceptedRequest): boolean {
@@ -101,7 +113,7 @@
   answer: CallerAnswer,
   context: RelayContext,
 ): Promise<RelayReport> {
-  const {clock, selection, activity, budgets} = context;
+  const {clock, selection, activity, budgets, quarantine} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
   const timeLimitMs = Math.min(
@@ -110,6 +122,7 @@
   );
   const deadlineAt = receivedAt + timeLimitMs;
   const excluded = new Set<string>();
+  const prompt = buildPromptIdentity(metadata, request.customer);
   /** Number of servers on which the request may have run. */
   let possibleRuns = 0;
   let lastEventId = metadata.lastEventId;
@@ -190,8 +203,9 @@
 
   function createSink(
     selected: SelectedServer,
-    tracking: {endAnswer?: () => void},
+    tracking: AttemptTracking,
   ): StreamSink {
+    let firstEventAt: number | undefined;
     return {
       acceptHead: head => {
         markFirstByte();
@@ -206,6 +220,14 @@
       },
       acceptEvent: event => {
         lastEventId = event.id ?? lastEventId;
+        if (firstEventAt === undefined) {
+          firstEventAt = clock.now();
+          tracking.stopTracking?.();
+        } else if (prompt && !tracking.isAnswered) {
+          // A server may send the first event and end before the second.
+          tracking.isAnswered = true;
+          quarantine.recordAnswer(prompt, firstEventAt);
+        }
         return answer.sendChunk(event.bytes);
       },
     };
@@ -257,7 +279,7 @@
   async function runAttempt(selected: SelectedServer): Promise<AttemptResult> {
     const {server, service, requestHandle} = selected;
     const {customer} = request;
-    const tracking: {endAnswer?: () => void; headAt?: number} = {};
+    const tracking: AttemptTracking = {};
     report.servers.push(server.id);
     report.sentMs.push(clock.now() - receivedAt);
     report.placement = selected.placement;
@@ -286,16 +308,26 @@
     const canUseAnotherServer =
       isRepeatable(request) && possibleRuns + 1 < route.maximumServers;
     const stopWatching = watchAttempt(attempt, selected, canUseAnotherServer);
+    if (prompt) {
+      tracking.stopTracking = quarantine.trackAttempt(prompt, () =>
+        attempt.abort(QUARANTINED_REASON),
+      );
+    }
     const result = await attempt.result;
     stopWatching();
+    tracking.stopTracking?.();
+    if (prompt && !tracking.isAnswered && hasSucceeded(result)) {
+      quarantine.recordAnswer(prompt, tracking.headAt ?? clock.now());
+    }
     tracking.endAnswer?.();
     requestHandle.end();
     report.reasons.push(result.reason);
     if (result.isCut && service.engine && metadata.generation) {
-      context.onCut({
+      quarantine.handleCut({
         requestId: metadata.id,
         server,
         blocks: metadata.generation.blocks,
+        prompt,
         reason: result.reason,
         eventCount: result.eventCount,
         headAt: tracking.headAt,
@@ -305,6 +337,10 @@
     return result;
   }
 
+  function hasSucceeded({end, head}: AttemptResult): boolean {
+    return end === AttemptEnd.COMPLETE && isSuccess(head!.status);
+  }
+
   function isServerFailure(result: AttemptResult): boolean {
     return (result.head?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
   }
@@ -328,6 +364,11 @@
     );
   }
 
+  /** Whether the prompt may run on another server after one has ended. */
+  function canRepeatPrompt(): boolean {
+    return !prompt || quarantine.canRepeat(prompt);
+  }
+
   /** Whether the request may be sent to another server after this result. */
   function canRepeat(result: AttemptResult, serviceName: string): boolean {
     const hasTime = deadlineAt - clock.now() > MINIMUM_ATTEMPT_MS;
@@ -335,6 +376,9 @@
       return false;
     }
     const isNotRun = result.end === AttemptEnd.NOT_RUN;
+    if (result.isCut && result.eventCount === 0 && !canRepeatPrompt()) {
+      return false;
+    }
     if (
       !isNotRun &&
       (!isRepeatable(request) || possibleRuns >= route.maximumServers)
@@ -386,16 +430,39 @@
     return result.end !== AttemptEnd.COMPLETE || isServerFailure(result);
   }
 
+  function isPromptQuarantined(): boolean {
+    return prompt !== undefined && quarantine.isQuarantined(prompt);
+  }
+
+  function buildQuarantineError(): RouterError {
+    return new RouterError(
+      'prompt_quarantined',
+      'backend servers ended when they began to answer prompts with the same block',
+      {outcome: possibleRuns > 0 ? Outcome.UNKNOWN : Outcome.NOT_RUN},
+    );
+  }
+
   async function runAttempts(): Promise<RouterError | undefined> {
     budgets.recordRequest(route, clock.now());
     for (;;) {
+      if (isPromptQuarantined()) {
+        return buildQuarantineError();
+      }
       const selected = await waitForServer();
       if (!selected) {
         return lastFailure
           ? settleResult(lastFailure)
           : refuse('no_server', 'no backend server can accept the request');
       }
+      if (isPromptQuarantined()) {
+        selected.requestHandle.end();
+        return buildQuarantineError();
+      }
       const result = await runAttempt(selected);
+      if (result.reason === QUARANTINED_REASON) {
+        possibleRuns += 1;
+        return buildQuarantineError();
+      }
       const {server, service} = selected;
       recordOutcome(result, server.id);
       excluded.add(server.id);
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -218,6 +218,12 @@
     title: 'The answer of the backend server is not valid.',
     advice: 'Look the outcome up before the request is repeated.',
   },
+  prompt_quarantined: {
+    status: 500,
+    title: 'The prompt has a block that ends backend servers.',
+    advice:
+      'Do not repeat the request. See prompt_quarantined in docs/OPERATIONS.md.',
+  },
   instance_unreachable: {
     status: 502,
     title: 'The instance gives no answer.',
