--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -350,6 +350,45 @@
       assert.is(received.error!.code, 'answer_truncated');
     });
 
+    /** How the server that should continue a stream fails. */
+    const failures: Readonly<Record<string, Script>> = {
+      'answers with an error and text': (_, response) => {
+        response.writeHead(502, ANSWER_HEADERS);
+        response.end('data: error text\n\n');
+      },
+      'refuses with text': (_, response) => {
+        response.writeHead(503, {...ANSWER_HEADERS, 'not-run': '1'});
+        response.end('data: error text\n\n');
+      },
+      'ends inside its head': ({socket}) => {
+        socket.end('HTTP/1.1 200 OK\r\nid: r1\r\nsea');
+      },
+      'ends after its head': ({socket}) => {
+        socket.end('HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\n');
+      },
+      'ends inside an event': ({socket}) => {
+        socket.end(
+          'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\nid: 4\ndata: err',
+        );
+      },
+    };
+    for (const [name, failure] of Object.entries(failures)) {
+      // ORDER, MIXED: callers found the text of an error in the middle of a stream.
+      it(`gets no byte of the server that ${name} instead of resuming it`, async () => {
+        const {received} = await runRequest({
+          scripts: [sendEvents(1, 3, false), failure],
+          route: RESUMABLE,
+        });
+        assert.not.ok(received.isComplete);
+        assert.ok(received.error);
+        assert.equal(
+          [...received.body.matchAll(/^id: (\d+)$/gm)].map(match => match[1]),
+          ['1', '2', '3'],
+        );
+        assert.not.match(received.body, 'err');
+      });
+    }
+
     it('is resumed at a third server when the second fails', async () => {
       const {received} = await runRequest({
         scripts: [
