--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -11,7 +11,6 @@
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
 import type {RequestUrgency} from '../state/request_urgency.js';
-import {buildPromptIdentity} from '../state/prompt_identity.js';
 import type {RepeatBudgets} from '../state/repeat_budgets.js';
 import type {ServerActivity} from '../state/server_activity.js';
 import type {
@@ -21,6 +20,8 @@
 import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {Attempt, AttemptResult, StreamSink} from './attempt.js';
 import type {CallerAnswer} from './caller_answer.js';
+import {createPromptTracker} from './prompt_tracker.js';
+import type {AttemptTracker} from './prompt_tracker.js';
 import type {QuarantineGuard} from './quarantine_guard.js';
 import {computeRetryAfter} from './retry_after.js';
 import type {ServerConnections} from './server_connections.js';
@@ -89,16 +90,6 @@
 /** Reason of an attempt that ends because its prompt is quarantined. */
 const QUARANTINED_REASON = 'prompt_quarantined';
 
-/** What is tracked of one attempt; times are monotonic, in milliseconds. */
-interface AttemptTracking {
-  endAnswer?: () => void;
-  /** Stops the abort of the attempt when its prompt is quarantined. */
-  stopTracking?: () => void;
-  headAt?: number;
-  /** Whether the quarantine was told that the answer has begun. */
-  isAnswered?: boolean;
-}
-
 /** Whether the request may run on more than one server. */
 function isRepeatable({route}: AcceptedRequest): boolean {
   return (
@@ -113,7 +104,7 @@
   answer: CallerAnswer,
   context: RelayContext,
 ): Promise<RelayReport> {
-  const {clock, selection, activity, budgets, quarantine} = context;
+  const {clock, selection, activity, budgets} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
   const timeLimitMs = Math.min(
@@ -122,7 +113,12 @@
   );
   const deadlineAt = receivedAt + timeLimitMs;
   const excluded = new Set<string>();
-  const prompt = buildPromptIdentity(metadata, request.customer);
+  const prompt = createPromptTracker({
+    metadata,
+    customer: request.customer,
+    guard: context.quarantine,
+    clock,
+  });
   /** Number of servers on which the request may have run. */
   let possibleRuns = 0;
   let lastEventId = metadata.lastEventId;
@@ -203,9 +199,9 @@
 
   function createSink(
     selected: SelectedServer,
-    tracking: AttemptTracking,
+    tracking: {endAnswer?: () => void},
+    tracker: AttemptTracker,
   ): StreamSink {
-    let firstEventAt: number | undefined;
     return {
       acceptHead: head => {
         markFirstByte();
@@ -220,14 +216,7 @@
       },
       acceptEvent: event => {
         lastEventId = event.id ?? lastEventId;
-        if (firstEventAt === undefined) {
-          firstEventAt = clock.now();
-          tracking.stopTracking?.();
-        } else if (prompt && !tracking.isAnswered) {
-          // A server may send the first event and end before the second.
-          tracking.isAnswered = true;
-          quarantine.recordAnswer(prompt, firstEventAt);
-        }
+        tracker.recordEvent();
         return answer.sendChunk(event.bytes);
       },
     };
@@ -279,7 +268,8 @@
   async function runAttempt(selected: SelectedServer): Promise<AttemptResult> {
     const {server, service, requestHandle} = selected;
     const {customer} = request;
-    const tracking: AttemptTracking = {};
+    const tracking: {endAnswer?: () => void} = {};
+    const tracker = prompt.createAttempt(server);
     report.servers.push(server.id);
     report.sentMs.push(clock.now() - receivedAt);
     report.placement = selected.placement;
@@ -300,47 +290,24 @@
       requestId: metadata.id,
       dialect: context.dialect,
       maximumBodyBytes: context.maximumAnswerBytes,
-      onHead: () => (tracking.headAt = clock.now()),
+      onHead: () => tracker.recordHead(),
       onActivity: () => activity.recordActivity(server.id, clock.now()),
-      ...(isStream ? {sink: createSink(selected, tracking)} : {}),
+      ...(isStream ? {sink: createSink(selected, tracking, tracker)} : {}),
     });
     answer.onDrain(() => attempt.resume());
     const canUseAnotherServer =
       isRepeatable(request) && possibleRuns + 1 < route.maximumServers;
     const stopWatching = watchAttempt(attempt, selected, canUseAnotherServer);
-    if (prompt) {
-      tracking.stopTracking = quarantine.trackAttempt(prompt, () =>
-        attempt.abort(QUARANTINED_REASON),
-      );
-    }
+    tracker.start(() => attempt.abort(QUARANTINED_REASON));
     const result = await attempt.result;
     stopWatching();
-    tracking.stopTracking?.();
-    if (prompt && !tracking.isAnswered && hasSucceeded(result)) {
-      quarantine.recordAnswer(prompt, tracking.headAt ?? clock.now());
-    }
+    tracker.end(result);
     tracking.endAnswer?.();
     requestHandle.end();
     report.reasons.push(result.reason);
-    if (result.isCut && service.engine && metadata.generation) {
-      quarantine.handleCut({
-        requestId: metadata.id,
-        server,
-        blocks: metadata.generation.blocks,
-        prompt,
-        reason: result.reason,
-        eventCount: result.eventCount,
-        headAt: tracking.headAt,
-        at: clock.now(),
-      });
-    }
     return result;
   }
 
-  function hasSucceeded({end, head}: AttemptResult): boolean {
-    return end === AttemptEnd.COMPLETE && isSuccess(head!.status);
-  }
-
   function isServerFailure(result: AttemptResult): boolean {
     return (result.head?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
   }
@@ -364,11 +331,6 @@
     );
   }
 
-  /** Whether the prompt may run on another server after one has ended. */
-  function canRepeatPrompt(): boolean {
-    return !prompt || quarantine.canRepeat(prompt);
-  }
-
   /** Whether the request may be sent to another server after this result. */
   function canRepeat(result: AttemptResult, serviceName: string): boolean {
     const hasTime = deadlineAt - clock.now() > MINIMUM_ATTEMPT_MS;
@@ -376,7 +338,7 @@
       return false;
     }
     const isNotRun = result.end === AttemptEnd.NOT_RUN;
-    if (result.isCut && result.eventCount === 0 && !canRepeatPrompt()) {
+    if (!prompt.canRepeat(result)) {
       return false;
     }
     if (
@@ -430,10 +392,6 @@
     return result.end !== AttemptEnd.COMPLETE || isServerFailure(result);
   }
 
-  function isPromptQuarantined(): boolean {
-    return prompt !== undefined && quarantine.isQuarantined(prompt);
-  }
-
   function buildQuarantineError(): RouterError {
     return new RouterError(
       'prompt_quarantined',
@@ -445,7 +403,7 @@
   async function runAttempts(): Promise<RouterError | undefined> {
     budgets.recordRequest(route, clock.now());
     for (;;) {
-      if (isPromptQuarantined()) {
+      if (prompt.isQuarantined()) {
         return buildQuarantineError();
       }
       const selected = await waitForServer();
@@ -454,7 +412,7 @@
           ? settleResult(lastFailure)
           : refuse('no_server', 'no backend server can accept the request');
       }
-      if (isPromptQuarantined()) {
+      if (prompt.isQuarantined()) {
         selected.requestHandle.end();
         return buildQuarantineError();
       }
