test(review): an endless answer in small chunks ends the gateway

Cause: a buffered answer is kept as one Buffer for each chunk; its limit counts bytes, so that a heap of 120 MB is full long before 48 MB have arrived.

Ruled out: large chunks, which are cut at the limit; endless heads, trailers, chunk extensions and interim answers, which end with 502 or at the deadline.

Nothing was changed in the code.

--- a/review/support/caller.mjs
+++ b/review/support/caller.mjs
@@ -1,4 +1,4 @@
-/** Stand-in for a client: sends one request and reads its answer. */
+/** Stand-in for a client: sends one request, and waits until its deadline. */
 import {request as startRequest} from 'node:http';
 
 /** Resolves with the answer, or with status 0 and the error. */
@@ -14,8 +14,14 @@
 }) {
   return new Promise(resolve => {
     const sentAt = Date.now();
-    const finish = result =>
+    const timer = setTimeout(() => {
+      finish({status: 0, error: 'deadline'});
+      request.destroy();
+    }, deadlineMs);
+    const finish = result => {
+      clearTimeout(timer);
       resolve({id, method, path, sentAt, endedAt: Date.now(), ...result});
+    };
     const request = startRequest({
       host: '127.0.0.1',
       port,
--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -6,7 +6,7 @@
 
 export const HOST = 'registre.example';
 
-/** Configuration with one safe and one unsafe route to the service `registre`. */
+/** Configuration with the routes of two services; timeouts as on the page of the site. */
 export function buildConfiguration({version, tenants}) {
   const route = {
     host: HOST,
@@ -32,9 +32,21 @@
         kind: 'unsafe',
         'max-attempts': 1,
       },
+      {
+        ...route,
+        name: 'inspector-query',
+        service: 'sabra-llm',
+        'path-prefix': '/queries/',
+        kind: 'streaming',
+        'timeout-ms': 8000,
+        'target-latency-ms': 500,
+        'gap-aim-ms': 400,
+        'max-attempts': 1,
+      },
     ],
     services: [
       {name: 'registre', 'health-path': '/health', 'max-connections': 110},
+      {name: 'sabra-llm', 'health-path': '/health', 'max-connections': 370},
     ],
     limits: {
       'max-header-bytes': 16_384,
@@ -65,8 +77,13 @@
   serverIds,
   tenants,
   answer,
+  startOthers = async () => [],
 }) {
   const runs = [];
+  const recordRun = run => {
+    runs.push(run);
+    write('run', run);
+  };
   const store = await startStore();
   started.push(store);
   const servers = [];
@@ -75,15 +92,16 @@
       id,
       service: 'registre',
       answer,
-      onRun: run => {
-        runs.push(run);
-        write('run', run);
-      },
+      onRun: recordRun,
     });
     started.push(server);
     servers.push(server);
     store.put(`servers/${id}`, server.entry);
   }
+  for (const server of await startOthers(recordRun)) {
+    started.push(server);
+    store.put(`servers/${server.id}`, server.entry);
+  }
   store.put('op/config', buildConfiguration({version: 3, tenants}));
   const gateways = await startGateways({
     names: gatewayNames,
--- a/review/support/servers.mjs
+++ b/review/support/servers.mjs
@@ -1,7 +1,8 @@
 /** Stand-in for a backend server of a service without an engine. */
 import {createServer} from 'node:http';
 
-const WORK_MS = 20;
+/** Mean of the plain services on the page of the site. */
+const WORK_MS = 43;
 
 /**
  * Starts a sound server on a free loopback port. `onRun` is called with each
