--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,6 +1,7 @@
 /**
  * The store is down for some seconds. Over 3 s after its return a server leaves
- * whose entry is removed without a notice. Nothing may reach it 2 s after that.
+ * whose entry is removed without a notice. Nothing may reach it 2 s after that;
+ * it ends a little later, and what runs on it then is lost.
  */
 import {Agent} from 'node:http';
 import {sendRequest} from '../support/caller.mjs';
@@ -15,6 +16,8 @@
 const STORE_DOWN_MS = [3000, 3650, 4000, 3000, 3650];
 /** Beyond `contact-ms`, so that the store counts as stable. */
 const REMOVAL_DELAY_MS = CONTACT_MS + 100;
+/** From the removal to the end of the server: `drain-ms` and a little longer. */
+const LINGER_MS = 2400;
 const OBSERVED_MS = 4500;
 const CALM_MS = 3000;
 const REQUEST_INTERVAL_MS = 15;
@@ -25,7 +28,7 @@
 const GATEWAYS = [1, 2, 3, 4].flatMap(n => [`front-a-${n}`, `front-b-${n}`]);
 
 await runCase(async ({folder, started, write}) => {
-  const {runs, store, gateways} = await startDeployment({
+  const {runs, store, servers, gateways} = await startDeployment({
     folder,
     started,
     write,
@@ -34,6 +37,7 @@
     tenants: [{name: 'hule930', 'api-keys': [KEY]}],
   });
   const agent = new Agent({keepAlive: true});
+  const answers = [];
   let isOver = false;
   let count = 0;
 
@@ -44,11 +48,15 @@
       const gateway = gateways[count % gateways.length];
       void sendRequest({
         port: gateway.front,
-        path: '/logs/1',
+        method: 'POST',
+        path: '/certs/issue',
         id,
         key: KEY,
         agent,
-      }).then(answer => write('answered', {...answer, by: gateway.name}));
+      }).then(answer => {
+        answers.push(answer);
+        write('answered', {...answer, by: gateway.name});
+      });
       await waitFor(REQUEST_INTERVAL_MS);
     }
   }
@@ -70,7 +78,10 @@
     store.remove(`servers/${LEAVING[index]}`);
     removedAt.set(LEAVING[index], Date.now());
     write('removed', {server: LEAVING[index]});
-    await waitFor(OBSERVED_MS);
+    await waitFor(LINGER_MS);
+    servers.find(({id}) => id === LEAVING[index]).close();
+    write('ended', {server: LEAVING[index]});
+    await waitFor(OBSERVED_MS - LINGER_MS);
   }
   isOver = true;
   await sending;
@@ -87,6 +98,14 @@
     const own = later.filter(run => run.server === server);
     write('last_after_removal', own.at(-1) ?? {server});
   }
+  const lateIds = new Set(
+    later.filter(({afterMs}) => afterMs > DRAIN_MS).map(({id}) => id),
+  );
+  write('lost', {
+    requests: answers
+      .filter(({id, status}) => lateIds.has(id) && status !== 200)
+      .map(({id, status, error}) => ({id, status, error})),
+  });
   return later
     .filter(({afterMs}) => afterMs > DRAIN_MS + TRANSIT_MS)
     .map(run => ({what: 'a request reached a server that had left', ...run}));
