docs(review): callers that had left after a blocked process, and exact counts

Case 4 also records how many requests reach a server after their callers have left; the report says what was reached in each trial.

Nothing was changed in the code.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -21,7 +21,7 @@
 const OBSERVED_MS = 9000;
 
 await runCase(async ({folder, started, write}) => {
-  const {gateways} = await startDeployment({
+  const {runs, gateways} = await startDeployment({
     folder,
     started,
     write,
@@ -87,6 +87,16 @@
   const late = open.filter(
     ({sentAt, endedAt}) => endedAt - sentAt > TIMEOUT_MS + ANSWER_SLACK_MS,
   );
+  // For information: requests that reached a server after their caller had left.
+  const leftAt = new Map(
+    answers
+      .filter(({error}) => error === 'deadline')
+      .map(({id, endedAt}) => [id, endedAt]),
+  );
+  const gone = runs.filter(
+    ({id, at}) => at - (leftAt.get(id) ?? Infinity) > ANSWER_SLACK_MS,
+  );
+  write('sent_on_after_caller_left', {requests: gone.length});
   write('open_at_timeout', {open: open.length, late: late.length});
   return late.length >= FEWEST_LATE && late.length > open.length / 2
     ? [
