--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -3,9 +3,9 @@
  * clients sent: each request once, with its body, and nothing else.
  */
 import {Agent} from 'node:http';
-import {sendRequest} from '../support/caller.mjs';
-import {HOST, startDeployment} from '../support/deployment.mjs';
-import {HAS_TROUBLE, runCase, waitFor} from '../support/run_case.mjs';
+import {sendRequest} from '../caller.mjs';
+import {HOST, startDeployment} from '../deployment.mjs';
+import {HAS_TROUBLE, runCase, waitFor} from '../run_case.mjs';
 
 const KEY = 'key-of-hule930';
 const REQUESTS = 10;
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,9 +3,9 @@
  * that time. No request with the key that is sent over 5 s later may run.
  */
 import {Agent} from 'node:http';
-import {sendRequest} from '../support/caller.mjs';
-import {buildConfiguration, startDeployment} from '../support/deployment.mjs';
-import {HAS_TROUBLE, runCase, waitFor} from '../support/run_case.mjs';
+import {sendRequest} from '../caller.mjs';
+import {buildConfiguration, startDeployment} from '../deployment.mjs';
+import {HAS_TROUBLE, runCase, waitFor} from '../run_case.mjs';
 
 const KEPT_KEY = 'key-of-yevo400';
 const TAKEN_KEY = 'key-of-hule930';
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -3,10 +3,10 @@
  * bytes. The other requests, which run at sound servers, must be answered.
  */
 import {Agent} from 'node:http';
-import {startBrokenServer} from '../support/broken_answers.mjs';
-import {sendRequest} from '../support/caller.mjs';
-import {startDeployment} from '../support/deployment.mjs';
-import {HAS_TROUBLE, runCase, waitFor} from '../support/run_case.mjs';
+import {startBrokenServer} from '../broken_answers.mjs';
+import {sendRequest} from '../caller.mjs';
+import {startDeployment} from '../deployment.mjs';
+import {HAS_TROUBLE, runCase, waitFor} from '../run_case.mjs';
 
 const KEY = 'key-of-yevo400';
 /** Clients, each with a connection that it keeps. */
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -4,9 +4,9 @@
  * it ends a little later, and what runs on it then is lost.
  */
 import {Agent} from 'node:http';
-import {sendRequest} from '../support/caller.mjs';
-import {startDeployment} from '../support/deployment.mjs';
-import {HAS_TROUBLE, runCase, waitFor} from '../support/run_case.mjs';
+import {sendRequest} from '../caller.mjs';
+import {startDeployment} from '../deployment.mjs';
+import {HAS_TROUBLE, runCase, waitFor} from '../run_case.mjs';
 
 const KEY = 'key-of-hule930';
 /** Bounds and doses of the pages, in milliseconds. */
--- a/review/support/gateway.mjs
+++ b/review/gateway.mjs
@@ -5,7 +5,7 @@
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
 
 /** Settings of the small deployment in Tunis, from its page. */
 const BOUNDS = {
