fix(gateway): bodies in small chunks no longer exhaust the heap

Cause: each chunk was kept as a Buffer of its own until the end of the body, some 200 bytes of heap for five bytes, and the limit counted the bytes received. Evidence: an answer of 1 MB in chunks of five bytes holds 35.9 MB, a caller's body of 0.5 MB in chunks of one byte 97.4 MB. Ruled out: the limit of 48 MB, which is never reached; large chunks, which endless_answer.spec had already.

Change: ByteBuffer copies the pieces into one block that grows by doubling and bounds what is held. Related paths: callers' bodies, bodies of the store and of peers, and bodies of the old router use it as well.

--- a/packages/gateway/__tests__/endless_answer.spec.ts
+++ b/packages/gateway/__tests__/endless_answer.spec.ts
@@ -2,7 +2,7 @@
 import {Agent} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
-import {describe, it} from '@buckthornbeam/testing';
+import {describe, it, measureHeldBytes} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
 import {startAttempt} from '../src/relay/attempt.js';
 import type {AttemptResult} from '../src/relay/attempt.js';
@@ -91,3 +91,53 @@
     assert.is(events, 1);
   });
 });
+
+/** Body in chunks of five bytes, as long as one that is buffered may be. */
+const SMALL_CHUNK = '5\r\nnoise\r\n';
+const SMALL_CHUNKS_PER_WRITE = 2000;
+/** The buffered body, grown by doubling, and the buffers of the connection. */
+const HELD_LIMIT_BYTES = 6 * MAXIMUM_BODY_BYTES;
+
+describe('an answer in small chunks', () => {
+  // Guards against a process that ends by its heap limit: each chunk that is kept
+  // by itself costs over a hundred bytes.
+  it('holds about the bytes of its body', async () => {
+    const bytes = Buffer.from(SMALL_CHUNK.repeat(SMALL_CHUNKS_PER_WRITE));
+    const bodyBytes = MAXIMUM_BODY_BYTES - SMALL_CHUNKS_PER_WRITE * 5;
+    const writes = bodyBytes / (SMALL_CHUNKS_PER_WRITE * 5);
+    let receivedBytes = 0;
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`);
+      for (let count = 0; count < writes; count++) {
+        socket.write(bytes);
+      }
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const agent = new Agent();
+    const before = measureHeldBytes();
+    const attempt = startAttempt({
+      agent,
+      address: `127.0.0.1:${port}`,
+      method: 'POST',
+      url: '/a/',
+      headers: ['host', 'a'],
+      body: Buffer.alloc(0),
+      requestId: 'r1',
+      dialect: testDialect,
+      maximumBodyBytes: MAXIMUM_BODY_BYTES,
+      onActivity: () => (receivedBytes += 5),
+    });
+    while (receivedBytes < bodyBytes) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    const heldBytes = measureHeldBytes() - before;
+    attempt.abort('deadline');
+    const result = await attempt.result;
+    agent.destroy();
+    server.close();
+    assert.is(result.body?.length, bodyBytes);
+    assert.ok(heldBytes < HELD_LIMIT_BYTES, `${heldBytes} bytes`);
+  });
+});
--- a/packages/gateway/src/http/request_body.ts
+++ b/packages/gateway/src/http/request_body.ts
@@ -1,6 +1,6 @@
 /** Reads the body of a caller's request, within limits on size and idle time. */
 import type {IncomingMessage} from 'node:http';
-import {RouterError} from '@buckthornbeam/shared';
+import {RouterError, createByteBuffer} from '@buckthornbeam/shared';
 
 export interface ReadBodyOptions {
   maximumBytes: number;
@@ -31,8 +31,7 @@
     );
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
+    const received = createByteBuffer({maximumBytes: options.maximumBytes});
     function failLate(): void {
       fail(
         new RouterError(
@@ -56,21 +55,18 @@
     }
     request.on('data', (chunk: Buffer) => {
       idleTimer.refresh();
-      receivedBytes += chunk.length;
-      if (receivedBytes > options.maximumBytes) {
+      if (!received.append(chunk)) {
         fail(
           new RouterError(
             'body_too_large',
-            `the body exceeds the limit after ${receivedBytes} bytes`,
+            `the body exceeds the limit of ${options.maximumBytes} bytes`,
           ),
         );
-        return;
       }
-      chunks.push(chunk);
     });
     request.on('end', () => {
       clearTimers();
-      resolve(Buffer.concat(chunks));
+      resolve(received.takeAll());
     });
     request.on('error', error => {
       fail(
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -3,6 +3,7 @@
  * the request may be sent to another server.
  */
 import type {Agent, IncomingMessage} from 'node:http';
+import {createByteBuffer} from '@buckthornbeam/shared';
 import type {AnswerMetadata, ServerDialect} from '../ports.js';
 import {createEventSplitter} from './event_splitter.js';
 import type {StreamEvent} from './event_splitter.js';
@@ -123,8 +124,7 @@
 export function startAttempt(options: AttemptOptions): Attempt {
   const {dialect, requestId, sink, onActivity = () => undefined} = options;
   const splitter = createEventSplitter();
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = createByteBuffer({maximumBytes: options.maximumBodyBytes});
   let head: AnswerHead | undefined;
   let hasSentHead = false;
   let isStream = false;
@@ -146,7 +146,7 @@
       isCut,
       eventCount,
       ...(head ? {head} : {}),
-      ...(isStream ? {} : {body: Buffer.concat(chunks)}),
+      ...(isStream ? {} : {body: body.takeAll()}),
     });
   }
 
@@ -206,12 +206,9 @@
       return;
     }
     onActivity();
-    size += bytes.length;
-    if (size > options.maximumBodyBytes) {
+    if (!body.append(bytes)) {
       abort('answer_too_large');
-      return;
     }
-    chunks.push(bytes);
   }
 
   function handleEnd(): void {
--- a/packages/router/src/http/body.ts
+++ b/packages/router/src/http/body.ts
@@ -1,6 +1,6 @@
 /** Reads and parses request bodies within limits on size, time and depth. */
 import type {IncomingMessage} from 'node:http';
-import {RouterError} from '@buckthornbeam/shared';
+import {RouterError, createByteBuffer} from '@buckthornbeam/shared';
 import type {RequestLimits} from '@buckthornbeam/config';
 import type {RequestPermit} from './request_limiter.js';
 
@@ -51,8 +51,7 @@
   permit: RequestPermit,
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const received = createByteBuffer({maximumBytes: limits.maximumBodyBytes});
     const timer = setTimeout(
       () => fail(makeBodyTimeoutError(limits)),
       limits.bodyTimeoutMs,
@@ -73,14 +72,11 @@
     }
 
     function onData(chunk: Buffer): void {
-      size += chunk.byteLength;
-      if (size > limits.maximumBodyBytes) {
-        fail(makeBodyTooLargeError(limits));
-        return;
-      }
       try {
+        if (!received.append(chunk)) {
+          throw makeBodyTooLargeError(limits);
+        }
         permit.addBytes(chunk.byteLength);
-        chunks.push(chunk);
       } catch (error) {
         fail(error as RouterError);
       }
@@ -88,7 +84,7 @@
 
     function onEnd(): void {
       removeListeners();
-      resolve(Buffer.concat(chunks));
+      resolve(received.takeAll());
     }
 
     function onClose(): void {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,8 @@
 /** Shared utilities: time, errors, logs, metrics, hashes, random numbers. */
 export {splitAddress} from './address.js';
 export type {AddressParts} from './address.js';
+export {createByteBuffer} from './byte_buffer.js';
+export type {ByteBuffer, ByteBufferOptions} from './byte_buffer.js';
 export {loadChart} from './chart.js';
 export type {Chart} from './chart.js';
 export {RouterError, errorTable, isErrorCode, toRouterError} from './errors.js';
--- a/packages/shared/src/read_text.ts
+++ b/packages/shared/src/read_text.ts
@@ -1,5 +1,6 @@
 /** Reads the body of an HTTP answer. */
 import type {Readable} from 'node:stream';
+import {createByteBuffer} from './byte_buffer.js';
 import {RouterError} from './errors.js';
 
 /**
@@ -13,22 +14,18 @@
   maximumBytes: number,
 ): Promise<string> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const received = createByteBuffer({maximumBytes});
     body.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maximumBytes) {
+      if (!received.append(chunk)) {
         body.destroy(
           new RouterError(
             'answer_garbled',
             `the body has more than ${maximumBytes} bytes`,
           ),
         );
-        return;
       }
-      chunks.push(chunk);
     });
     body.on('error', reject);
-    body.on('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+    body.on('end', () => resolve(received.getBytes().toString('utf8')));
   });
 }
