fix(gateway): requests to servers state the length of their body for every method

Cause: the caller's Content-Length is removed and the framing left to node:http, which adds none for GET, HEAD, DELETE, OPTIONS and TRACE when the headers are given as an array, and writes the body bare. Evidence: the bytes on a raw socket. Ruled out: what the parser of callers' requests lets through (20 ambiguous forms are all refused), the clients of the old router, the way between instances.

Change: the exchange replaces whatever framed the caller's request by the length of the body that is sent. A request of another method without a body states 0.

--- a/packages/gateway/__tests__/caller_server.spec.ts
+++ b/packages/gateway/__tests__/caller_server.spec.ts
@@ -1,57 +1,19 @@
 /** The server for callers on loopback: stops, and callers that are slow. */
 import {createServer} from 'node:http';
-import {connect, createServer as createTcpServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
-import {createPrefixLocations} from '@buckthornbeam/decisions';
-import {createSystemClock, waitFor} from '@buckthornbeam/shared';
+import {waitFor} from '@buckthornbeam/shared';
 import {describe, it} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
-import {createCallerServer} from '../src/http/caller_server.js';
-import {createGatewayMetrics} from '../src/metrics.js';
-import type {CallerDialect} from '../src/ports.js';
-import {createServerConnections} from '../src/relay/server_connections.js';
-import {createRepeatBudgets} from '../src/state/repeat_budgets.js';
-import {createServerActivity} from '../src/state/server_activity.js';
-import {createServerLoads} from '../src/state/server_loads.js';
-import {createServerSelection} from '../src/state/server_selection.js';
 import {
-  createConfiguration,
-  createFilledClusterState,
-  createRoute,
-  createServerEntry,
-  createTestGuard,
-  silentLogger,
-  testDialect,
-} from './support/fixtures.js';
+  HOST,
+  openSocket,
+  startCallerGateway,
+} from './support/caller_gateway.js';
 
-const HOST = '127.0.0.1';
 /** Far more than the buffers of a connection hold. */
 const BODY_BYTES = 16_000_000;
 const POLL_MS = 20;
 
-const callerDialect: CallerDialect = {
-  readRequest: url => ({
-    id: 'r1',
-    host: 'host',
-    path: url,
-    deadlineMs: 600,
-    apiKey: undefined,
-    lastEventId: undefined,
-    generation: undefined,
-  }),
-  isAddressQuery: () => false,
-  encodeAddresses: () => '',
-  readinessPath: '/ready',
-};
-
-async function findPort(): Promise<number> {
-  const server = createTcpServer();
-  await new Promise<void>(resolve => server.listen(0, HOST, () => resolve()));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 /** Starts a caller server before a backend server that sends a large body. */
 async function startServers() {
   const backend = createServer((request, response) => {
@@ -60,85 +22,18 @@
     response.end(Buffer.alloc(BODY_BYTES, 'x'));
   });
   await new Promise<void>(resolve => backend.listen(0, HOST, () => resolve()));
-  const route = createRoute();
-  const configuration = createConfiguration({routes: [route]});
   const {port: backendPort} = backend.address() as AddressInfo;
-  const clusterState = createFilledClusterState(configuration, [
-    createServerEntry({address: `${HOST}:${backendPort}`}),
-  ]);
-  const activity = createServerActivity();
-  const connections = createServerConnections();
-  const clock = createSystemClock();
-  const port = await findPort();
-  const callers = createCallerServer({
-    address: `${HOST}:${port}`,
-    dialect: callerDialect,
-    relay: {
-      clock,
-      dialect: testDialect,
-      connections,
-      selection: createServerSelection({
-        locations: createPrefixLocations(),
-        selfId: 'self',
-        dataCentre: 'here',
-        regions: {},
-        clusterState,
-        loads: createServerLoads(),
-        activity,
-        prefillTokensPerMs: 50,
-        shortPromptRatio: 0,
-        listInstances: () => ['self'],
-        coldOverage: 1,
-        coldSlack: 0,
-      }),
-      activity,
-      budgets: createRepeatBudgets({
-        fleet: {ratio: 0, extra: 10, windowMs: 10_000},
-        countInstances: () => 1,
-      }),
-      maximumAnswerBytes: 2 * BODY_BYTES,
-      random: Math.random,
-      quarantine: createTestGuard(),
-    },
-    grantAccess: async () => ({
-      route,
-      customer: undefined,
-      urgency: {level: 0, position: 0},
-    }),
-    getLimits: () => configuration.limits,
-    describeClusterState: () => ({}),
-    maximumOpenRequests: 100,
-    maximumHeldBytes: 10_000_000,
-    clock,
-    logger: silentLogger,
-    metrics: createGatewayMetrics({
-      countOpenRequests: () => 0,
-      computeClusterStateAgeMs: () => 0,
-      getConfigurationVersion: () => 0,
-      countPeers: () => 0,
-      countQuarantined: () => 0,
-    }),
-  });
-  await callers.start();
+  const gateway = await startCallerGateway({backendPort});
   return {
-    callers,
-    port,
+    ...gateway,
     close: () => {
-      callers.stop();
-      connections.close();
+      gateway.close();
       backend.closeAllConnections();
       backend.close();
     },
   };
 }
 
-async function openSocket(port: number): Promise<Socket> {
-  const socket = connect({host: HOST, port});
-  socket.on('error', () => undefined);
-  await new Promise<void>(resolve => socket.once('connect', () => resolve()));
-  return socket;
-}
-
 function countReceived(socket: Socket): () => number {
   let bytes = 0;
   socket.on('data', chunk => (bytes += chunk.length));
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -2,6 +2,7 @@
 import {request as startRequest} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
 import {splitAddress} from '@buckthornbeam/shared';
+import {buildFramedHeaders} from './request_framing.js';
 import {isCloseDelimited, isReset} from './server_connections.js';
 
 /** Options of {@link startExchange}. */
@@ -106,7 +107,7 @@
     agent,
     method,
     path: url,
-    headers: options.headers as string[],
+    headers: buildFramedHeaders(method, options.headers, body.length),
     setHost: false,
   });
   outgoing.on('response', readAnswer);
