fix(gateway): a body in small pieces no longer blocks the event loop

A slow reader of an answer without framing could wait for its end until the deadline.

Cause: the splitter joined all buffered bytes for each piece (11.3 s for 1 MB in pieces of five bytes), and everything that the reads of a connection bring was handled in one turn. The body of a slow reader was paused instead of its connection, so that the close of the connection came before the end of the body and was missed. Evidence: a processor profile, half of it in the parser; a trace of pause and resume, which shows node:http reading ahead and resuming the connection. Ruled out: the regular expression over events, garbage collection (8 ms), the stand-in's own work.

Change: the splitter copies an unfinished event once; ReadPacer holds the connection until the next turn after 256 pieces, and lets one held connection go on in each turn. Related paths: callers' bodies, the store's, peers' and the old router's. Complete events of one read are written to the caller at once.

--- a/packages/gateway/__tests__/broken_answer.spec.ts
+++ b/packages/gateway/__tests__/broken_answer.spec.ts
@@ -111,8 +111,8 @@
     maximumBodyBytes: 1000,
     sink: {
       acceptHead: () => undefined,
-      acceptEvent: event => {
-        received += event.bytes.toString();
+      acceptEvents: events => {
+        events.forEach(event => (received += event.bytes.toString()));
         return true;
       },
     },
--- a/packages/gateway/__tests__/endless_answer.spec.ts
+++ b/packages/gateway/__tests__/endless_answer.spec.ts
@@ -2,10 +2,12 @@
 import {Agent} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import {describe, it, measureHeldBytes} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
 import {startAttempt} from '../src/relay/attempt.js';
-import type {AttemptResult} from '../src/relay/attempt.js';
+import type {Attempt, AttemptResult} from '../src/relay/attempt.js';
+import {createServerConnections} from '../src/relay/server_connections.js';
 import {testDialect} from './support/fixtures.js';
 
 const CHUNK = Buffer.alloc(16_384, 'x');
@@ -56,8 +58,8 @@
       ? {
           sink: {
             acceptHead: () => undefined,
-            acceptEvent: () => {
-              events += 1;
+            acceptEvents: received => {
+              events += received.length;
               return true;
             },
           },
@@ -141,3 +143,95 @@
     assert.ok(heldBytes < HELD_LIMIT_BYTES, `${heldBytes} bytes`);
   });
 });
+
+/** An event may reach its caller this long after the server sent it. */
+const TURN_LIMIT_MS = 120;
+const FLOOD_MS = 1500;
+const FLOOD_BYTES = 65_536;
+const FLOODING_SERVERS = 4;
+const FLOOD_START_INTERVAL_MS = 100;
+
+/** Returns the longest time for which nothing else could run. */
+async function measureLongestTurn(
+  run: () => Promise<unknown>,
+): Promise<number> {
+  let longestMs = 0;
+  let lastAt = performance.now();
+  const timer = setInterval(() => {
+    longestMs = Math.max(longestMs, performance.now() - lastAt);
+    lastAt = performance.now();
+  }, 1);
+  await run();
+  longestMs = Math.max(longestMs, performance.now() - lastAt);
+  clearInterval(timer);
+  return longestMs;
+}
+
+/** Runs streams at servers, in a thread of their own, that repeat a piece without end. */
+async function runFloodedStreams(head: string, piece: string): Promise<void> {
+  const worker = new Worker(
+    `const {workerData, parentPort} = require('node:worker_threads');
+    const bytes = Buffer.from(workerData.piece.repeat(workerData.count));
+    require('node:net').createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.write(workerData.head);
+      const fill = () => { while (!socket.destroyed && socket.write(bytes)); };
+      socket.on('drain', fill);
+      fill();
+    }).listen(0, '127.0.0.1', function () {
+      parentPort.postMessage(this.address().port);
+    });`,
+    {
+      eval: true,
+      workerData: {
+        head,
+        piece,
+        count: Math.ceil(FLOOD_BYTES / piece.length),
+      },
+    },
+  );
+  const port = await new Promise(resolve => worker.once('message', resolve));
+  const pool = createServerConnections();
+  const attempts: Attempt[] = [];
+  for (let count = 0; count < FLOODING_SERVERS; count++) {
+    attempts.push(
+      startAttempt({
+        agent: pool.agent,
+        address: `127.0.0.1:${port}`,
+        method: 'POST',
+        url: '/a/',
+        headers: ['host', 'a'],
+        body: Buffer.alloc(0),
+        requestId: 'r1',
+        dialect: testDialect,
+        maximumBodyBytes: 100 * MAXIMUM_BODY_BYTES,
+        sink: {acceptHead: () => undefined, acceptEvents: () => true},
+      }),
+    );
+    await new Promise(resolve => setTimeout(resolve, FLOOD_START_INTERVAL_MS));
+  }
+  await new Promise(resolve => setTimeout(resolve, FLOOD_MS));
+  attempts.forEach(attempt => attempt.abort('deadline'));
+  await Promise.all(attempts.map(attempt => attempt.result));
+  pool.close();
+  await worker.terminate();
+}
+
+describe('the event loop under four answers without end', () => {
+  // Guards against a process that answers nobody while one server floods it.
+  for (const [name, status, piece] of [
+    ['one event in small chunks', '200 OK', '5\r\nnoise\r\n'],
+    ['a body in small chunks', '500 Error', '5\r\nnoise\r\n'],
+    ['a body in chunks of one byte', '500 Error', '1\r\nx\r\n'],
+    ['events in small chunks', '200 OK', '7\r\nid: 1\n\n\r\n'],
+    ['events in large chunks', '200 OK', `4000\r\n${'\n\n'.repeat(8192)}\r\n`],
+  ] as const) {
+    it(`has short turns: ${name}`, async () => {
+      const head = `HTTP/1.1 ${status}\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n`;
+      const longestMs = await measureLongestTurn(() =>
+        runFloodedStreams(head, piece),
+      );
+      assert.ok(longestMs < TURN_LIMIT_MS, `${longestMs} ms`);
+    });
+  }
+});
--- a/packages/gateway/__tests__/event_splitter.spec.ts
+++ b/packages/gateway/__tests__/event_splitter.spec.ts
@@ -4,6 +4,9 @@
 import * as assert from 'uvu/assert';
 import {createEventSplitter} from '../src/relay/event_splitter.js';
 
+/** Within the time after its timeout in which a request must have an answer. */
+const SPLIT_LIMIT_MS = 500;
+
 function splitChunks(chunks: readonly string[]) {
   const splitter = createEventSplitter();
   const events = chunks.flatMap(chunk => splitter.push(Buffer.from(chunk)));
@@ -54,4 +57,49 @@
     assert.is(events[0]!.id, '7');
     assert.is(events.length, 1);
   });
+
+  it('finds an end that is split at any two bytes', () => {
+    const text = 'id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\r\nid: 3\n\n';
+    for (let first = 0; first <= text.length; first++) {
+      for (let second = first; second <= text.length; second++) {
+        const {events, buffered} = splitChunks([
+          text.slice(0, first),
+          text.slice(first, second),
+          text.slice(second),
+        ]);
+        assert.equal(
+          events.map(event => event.id),
+          ['1', '2', '3'],
+          `${first}, ${second}`,
+        );
+        assert.is(buffered, 0);
+      }
+    }
+  });
+
+  it('returns no part of an event above the limit', () => {
+    const splitter = createEventSplitter({maximumEventBytes: 20});
+    const begin = splitter.push(Buffer.from('id: 1\n\nid: 2\ndata: '));
+    assert.equal(
+      begin.map(event => event.id),
+      ['1'],
+    );
+    assert.equal(splitter.push(Buffer.from('0123456789\n\nid: 3\n\n')), []);
+    assert.ok(splitter.hasOverflowed());
+  });
+
+  // Guards against a process that answers nobody for seconds: joining all buffered
+  // bytes for each piece costs the square of the size of the event.
+  it('splits an event of a megabyte in pieces of five bytes', () => {
+    const splitter = createEventSplitter();
+    const piece = Buffer.from('noise');
+    const startedAt = performance.now();
+    for (let count = 0; count < 199_000; count++) {
+      splitter.push(piece);
+    }
+    const events = splitter.push(Buffer.from('\n\n'));
+    const tookMs = performance.now() - startedAt;
+    assert.is(events[0]?.bytes.length, 5 * 199_000 + 2);
+    assert.ok(tookMs < SPLIT_LIMIT_MS, `${tookMs} ms`);
+  });
 });
--- a/packages/gateway/__tests__/exchange.spec.ts
+++ b/packages/gateway/__tests__/exchange.spec.ts
@@ -65,6 +65,7 @@
         onAnswer: () => undefined,
         onData: bytes => {
           body += bytes.toString();
+          return 1;
         },
         onEnd: () => resolve({body, end: 'end'}),
         onFailure: (error, isSent) =>
@@ -100,6 +101,47 @@
     });
   });
 
+  describe('a body that ends with the connection, for a slow reader', () => {
+    // Guards against an answer that never ends for its caller, whose connection
+    // was closed while its body was still paused.
+    it('is complete after the reader goes on', async () => {
+      const server = createServer(socket => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => socket.end(UNFRAMED));
+      });
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', () => resolve()),
+      );
+      const {port} = server.address() as AddressInfo;
+      const connections = createServerConnections();
+      const end = await new Promise<string>(resolve => {
+        const exchange = startExchange(
+          {
+            agent: connections.agent,
+            address: `127.0.0.1:${port}`,
+            method: 'GET',
+            url: '/',
+            headers: ['Host', 'test'],
+            body: Buffer.alloc(0),
+          },
+          {
+            onAnswer: () => {
+              exchange.pause();
+              setTimeout(() => exchange.resume(), 5 * PAUSE_MS);
+            },
+            onData: () => 1,
+            onEnd: () => resolve('end'),
+            onFailure: () => resolve('failure'),
+          },
+        );
+        setTimeout(() => resolve('nothing'), 50 * PAUSE_MS);
+      });
+      connections.close();
+      server.close();
+      assert.is(end, 'end');
+    });
+  });
+
   describe('a body with a content length', () => {
     it('is incomplete when the connection ends early', async () => {
       const {results} = await runExchanges(socket =>
--- a/packages/gateway/src/http/request_body.ts
+++ b/packages/gateway/src/http/request_body.ts
@@ -1,6 +1,10 @@
 /** Reads the body of a caller's request, within limits on size and idle time. */
 import type {IncomingMessage} from 'node:http';
-import {RouterError, createByteBuffer} from '@buckthornbeam/shared';
+import {
+  RouterError,
+  createByteBuffer,
+  createReadPacer,
+} from '@buckthornbeam/shared';
 
 export interface ReadBodyOptions {
   maximumBytes: number;
@@ -32,6 +36,7 @@
   }
   return new Promise((resolve, reject) => {
     const received = createByteBuffer({maximumBytes: options.maximumBytes});
+    const pacer = createReadPacer(request);
     function failLate(): void {
       fail(
         new RouterError(
@@ -55,6 +60,7 @@
     }
     request.on('data', (chunk: Buffer) => {
       idleTimer.refresh();
+      pacer.countPieces(1);
       if (!received.append(chunk)) {
         fail(
           new RouterError(
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -50,8 +50,8 @@
 export interface StreamSink {
   /** Called once, before the first event. */
   acceptHead(head: AnswerHead): void;
-  /** Called for each complete event; false pauses until {@link Attempt.resume}. */
-  acceptEvent(event: StreamEvent): boolean;
+  /** Called with complete events; false pauses until {@link Attempt.resume}. */
+  acceptEvents(events: readonly StreamEvent[]): boolean;
 }
 
 /** Options of {@link startAttempt}. */
@@ -123,7 +123,9 @@
 
 export function startAttempt(options: AttemptOptions): Attempt {
   const {dialect, requestId, sink, onActivity = () => undefined} = options;
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter({
+    maximumEventBytes: MAXIMUM_EVENT_BYTES,
+  });
   const body = createByteBuffer({maximumBytes: options.maximumBodyBytes});
   let head: AnswerHead | undefined;
   let hasSentHead = false;
@@ -180,35 +182,38 @@
     isStream = sink !== undefined && isSuccess(status);
   }
 
-  function relayEvents(bytes: Buffer): void {
-    const events = splitter.push(bytes);
+  function relayEvents(events: readonly StreamEvent[]): void {
     eventCount += events.length;
-    if (events.length > 0) {
-      onActivity();
+    onActivity();
+    if (!hasSentHead) {
+      hasSentHead = true;
+      sink!.acceptHead(head!);
     }
-    for (const event of events) {
-      if (!hasSentHead) {
-        hasSentHead = true;
-        sink!.acceptHead(head!);
-      }
-      if (!sink!.acceptEvent(event)) {
-        exchange.pause();
-      }
+    if (!sink!.acceptEvents(events)) {
+      exchange.pause();
     }
-    if (splitter.countBuffered() > MAXIMUM_EVENT_BYTES) {
+  }
+
+  function readEvents(bytes: Buffer): number {
+    const events = splitter.push(bytes);
+    if (events.length > 0) {
+      relayEvents(events);
+    }
+    if (splitter.hasOverflowed()) {
       abort('event_too_large');
     }
+    return Math.max(1, events.length);
   }
 
-  function readData(bytes: Buffer): void {
+  function readData(bytes: Buffer): number {
     if (isStream) {
-      relayEvents(bytes);
-      return;
+      return readEvents(bytes);
     }
     onActivity();
     if (!body.append(bytes)) {
       abort('answer_too_large');
     }
+    return 1;
   }
 
   function handleEnd(): void {
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -4,6 +4,8 @@
  * complete one.
  */
 
+import {createByteBuffer} from '@buckthornbeam/shared';
+
 /** A complete event, including the empty line at its end. */
 export interface StreamEvent {
   bytes: Buffer;
@@ -15,6 +17,8 @@
   push(bytes: Buffer): StreamEvent[];
   /** Bytes of the incomplete event that is buffered; 0 without one. */
   countBuffered(): number;
+  /** Whether an event was larger than the limit; what follows is not split. */
+  hasOverflowed(): boolean;
 }
 
 const LINE_FEED = 0x0a;
@@ -42,27 +46,65 @@
   return {bytes, id: match?.[1]?.trim()};
 }
 
-/** The end of an event may begin this many bytes before the next chunk. */
+/** Options of {@link createEventSplitter}. */
+export interface EventSplitterOptions {
+  /** Largest incomplete event that is buffered. */
+  maximumEventBytes?: number;
+}
+
+/** The end of an event may begin this many bytes before the next piece. */
 const MAXIMUM_SPLIT_END_BYTES = 2;
+/** Bytes of the next piece that may belong to such an end. */
+const MAXIMUM_END_BYTES = 3;
+const DEFAULT_MAXIMUM_EVENT_BYTES = 1_000_000;
+
+export function createEventSplitter({
+  maximumEventBytes = DEFAULT_MAXIMUM_EVENT_BYTES,
+}: EventSplitterOptions = {}): EventSplitter {
+  const buffered = createByteBuffer({maximumBytes: maximumEventBytes});
+  let hasOverflowed = false;
+
+  /** Finds the end of the buffered event in the next piece; -1 if it has none. */
+  function findBufferedEnd(piece: Buffer): number {
+    const tail = buffered.getBytes().subarray(-MAXIMUM_SPLIT_END_BYTES);
+    const seam = Buffer.concat([tail, piece.subarray(0, MAXIMUM_END_BYTES)]);
+    const endInSeam = findEventEnd(seam, 0);
+    return endInSeam === -1 ? findEventEnd(piece, 0) : endInSeam - tail.length;
+  }
+
+  function addToBuffered(bytes: Buffer): void {
+    hasOverflowed ||= !buffered.append(bytes);
+  }
+
+  /** Completes the buffered event with its last bytes. */
+  function takeBufferedEvent(lastBytes: Buffer): StreamEvent[] {
+    addToBuffered(lastBytes);
+    return hasOverflowed ? [] : [createEvent(buffered.takeAll())];
+  }
 
-export function createEventSplitter(): EventSplitter {
-  let buffered: Buffer = Buffer.alloc(0);
   return {
-    push: bytes => {
-      // The end was not found in the earlier bytes, which are not searched again.
-      let from = Math.max(0, buffered.length - MAXIMUM_SPLIT_END_BYTES);
-      buffered =
-        buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
+    push: piece => {
       const events: StreamEvent[] = [];
-      let end = findEventEnd(buffered, from);
-      while (end !== -1) {
-        events.push(createEvent(buffered.subarray(0, end)));
-        buffered = buffered.subarray(end);
-        from = 0;
-        end = findEventEnd(buffered, from);
+      let rest = piece;
+      if (buffered.length > 0) {
+        const end = findBufferedEnd(piece);
+        if (end === -1) {
+          addToBuffered(piece);
+          return events;
+        }
+        events.push(...takeBufferedEvent(piece.subarray(0, end)));
+        rest = piece.subarray(end);
+      }
+      let end = findEventEnd(rest, 0);
+      while (end !== -1 && !hasOverflowed) {
+        events.push(createEvent(rest.subarray(0, end)));
+        rest = rest.subarray(end);
+        end = findEventEnd(rest, 0);
       }
+      addToBuffered(rest);
       return events;
     },
     countBuffered: () => buffered.length,
+    hasOverflowed: () => hasOverflowed,
   };
 }
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -1,7 +1,8 @@
 /** Sends one request to one backend server and reports how far it got. */
 import {request as startRequest} from 'node:http';
 import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
-import {splitAddress} from '@buckthornbeam/shared';
+import {createReadPacer, splitAddress} from '@buckthornbeam/shared';
+import type {ReadPacer} from '@buckthornbeam/shared';
 import {buildFramedHeaders} from './request_framing.js';
 import {isCloseDelimited, isReset} from './server_connections.js';
 
@@ -21,7 +22,8 @@
 export interface ExchangeHandlers {
   /** `isReused` tells whether the connection had another answer before. */
   onAnswer(answer: IncomingMessage, isReused: boolean): void;
-  onData(bytes: Buffer): void;
+  /** Returns the number of pieces that the bytes were split into. */
+  onData(bytes: Buffer): number;
   /** The body is complete according to its framing. */
   onEnd(): void;
   /** `isSent` is false only if no byte of the request can have been sent. */
@@ -54,6 +56,7 @@
   const {agent, address, method, url, body} = options;
   let isFinished = false;
   let answer: IncomingMessage | undefined;
+  let pacer: ReadPacer | undefined;
 
   function finish(notify: () => void): void {
     if (!isFinished) {
@@ -78,9 +81,11 @@
 
   function readAnswer(incoming: IncomingMessage): void {
     answer = incoming;
+    const answerPacer = createReadPacer(incoming);
+    pacer = answerPacer;
     incoming.on('data', (bytes: Buffer) => {
       if (!isFinished) {
-        handlers.onData(bytes);
+        answerPacer.countPieces(handlers.onData(bytes));
       }
     });
     incoming.on('end', () => {
@@ -127,7 +132,7 @@
     closeAfterAnswer: () => {
       outgoing.shouldKeepAlive = false;
     },
-    pause: () => answer?.pause(),
-    resume: () => answer?.resume(),
+    pause: () => pacer?.pause(),
+    resume: () => pacer?.resume(),
   };
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -214,10 +214,16 @@
           answer.beginStream(head);
         }
       },
-      acceptEvent: event => {
-        lastEventId = event.id ?? lastEventId;
-        tracker.recordEvent();
-        return answer.sendChunk(event.bytes);
+      acceptEvents: events => {
+        for (const {id} of events) {
+          lastEventId = id ?? lastEventId;
+          tracker.recordEvent();
+        }
+        return answer.sendChunk(
+          events.length === 1
+            ? events[0]!.bytes
+            : Buffer.concat(events.map(({bytes}) => bytes)),
+        );
       },
     };
   }
--- a/packages/router/src/http/body.ts
+++ b/packages/router/src/http/body.ts
@@ -1,6 +1,10 @@
 /** Reads and parses request bodies within limits on size, time and depth. */
 import type {IncomingMessage} from 'node:http';
-import {RouterError, createByteBuffer} from '@buckthornbeam/shared';
+import {
+  RouterError,
+  createByteBuffer,
+  createReadPacer,
+} from '@buckthornbeam/shared';
 import type {RequestLimits} from '@buckthornbeam/config';
 import type {RequestPermit} from './request_limiter.js';
 
@@ -52,6 +56,7 @@
 ): Promise<Uint8Array> {
   return new Promise((resolve, reject) => {
     const received = createByteBuffer({maximumBytes: limits.maximumBodyBytes});
+    const pacer = createReadPacer(request);
     const timer = setTimeout(
       () => fail(makeBodyTimeoutError(limits)),
       limits.bodyTimeoutMs,
@@ -72,6 +77,7 @@
     }
 
     function onData(chunk: Buffer): void {
+      pacer.countPieces(1);
       try {
         if (!received.append(chunk)) {
           throw makeBodyTooLargeError(limits);
--- a/packages/shared/src/read_text.ts
+++ b/packages/shared/src/read_text.ts
@@ -1,7 +1,8 @@
 /** Reads the body of an HTTP answer. */
-import type {Readable} from 'node:stream';
 import {createByteBuffer} from './byte_buffer.js';
 import {RouterError} from './errors.js';
+import {createReadPacer} from './read_pacer.js';
+import type {PacedBody} from './read_pacer.js';
 
 /**
  * Reads a body as UTF-8, up to a size: a sender in trouble may send without end.
@@ -10,12 +11,14 @@
  *   connection if it breaks off
  */
 export function readText(
-  body: Readable,
+  body: PacedBody,
   maximumBytes: number,
 ): Promise<string> {
   return new Promise((resolve, reject) => {
     const received = createByteBuffer({maximumBytes});
+    const pacer = createReadPacer(body);
     body.on('data', (chunk: Buffer) => {
+      pacer.countPieces(1);
       if (!received.append(chunk)) {
         body.destroy(
           new RouterError(
