--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -100,6 +100,7 @@
       getConfigurationVersion: () => 7,
       countPeers: () => 5,
       countQuarantined: () => 2,
+      getLongestPauseMs: () => 1500,
     });
     metrics.countRequest('route', 200, 'ok');
     metrics.observeFirstByte('route', 120);
@@ -109,6 +110,7 @@
       /requests_total\{route="route",status="200",code="ok"\} 1/,
     );
     assert.match(text, 'buckthornbeam_open_requests 3');
+    assert.match(text, 'buckthornbeam_event_loop_pause_seconds 1.5');
     assert.match(text, 'buckthornbeam_knowledge_age_seconds 0.5');
     assert.match(text, /first_byte_seconds_bucket\{le="0.2",route="route"\} 1/);
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import type {GatewaySettings} from './settings.js';
 import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
+import {createPauseDetector} from './state/pause_detector.js';
 import {createRepeatBudgets} from './state/repeat_budgets.js';
 import {createServerActivity} from './state/server_activity.js';
 import {createServerLoads} from './state/server_loads.js';
@@ -96,6 +97,8 @@
   let isStopping = false;
   let maintenanceTimer: NodeJS.Timeout | undefined;
 
+  const pauses = createPauseDetector({clock, logger});
+
   const seedIndex = settings.seeds.indexOf(settings.listen.peers);
   const schedule = createReadSchedule({
     intervalMs: computeReadInterval(
@@ -210,6 +213,7 @@
       clusterState.getConfiguration()?.version ?? 0,
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
+    getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
   const connections = createServerConnections({
@@ -335,6 +339,7 @@
     callerServer.stop();
     watcher.stop();
     clearInterval(maintenanceTimer);
+    pauses.stop();
     gossip.stop();
     connections.close();
     statusServers.stop();
@@ -342,6 +347,7 @@
 
   async function start(): Promise<void> {
     logger.info('starting', {incarnation, dataCentre: settings.dataCentre});
+    pauses.start();
     watcher.start();
     try {
       await Promise.all([callerServer.start(), statusServers.start()]);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,6 +22,7 @@
   getConfigurationVersion: () => number;
   countPeers: () => number;
   countQuarantined: () => number;
+  getLongestPauseMs: () => number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -92,6 +93,11 @@
       'Sets of prompt blocks in quarantine.',
       sources.countQuarantined,
     ],
+    [
+      'buckthornbeam_event_loop_pause_seconds',
+      'Longest time without a turn of the event loop, in the last one to two minutes.',
+      () => sources.getLongestPauseMs() / MS_PER_SECOND,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     const gauge: Gauge = new Gauge({
