fix(gateway): ages of what waited in a socket count the time of a pause

Cause: a gossip message states the age of the state as of its sending. Messages that arrived while the process was stopped waited in the socket; the first of them, older than the change, made the old configuration count as just confirmed. The guard looks for a jump between the steady clock and the time of day, which a stop does not show. Evidence: event_loop_paused pausedMs=5002 processorMs=1, then two requests granted with the old version, then the new one from a peer 40 ms after the pause. Ruled out: a long turn (processor time), a missing check of the age.

Change: for 200 ms after a pause, ages in messages are raised by the time for which they may have waited, also for those that the message is forwarded to. Related paths: answers of the store count as of their request; requests read after a pause wait some turns, so that the ends of their callers' connections are read first, and are not sent for a caller that has left; keys near their limit are confirmed by a read at once.

--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -496,3 +496,16 @@
     });
   });
 });
+
+describe('a request whose caller has left', () => {
+  // Guards against work for nobody after a pause, when requests are read before the
+  // ends of their connections.
+  it('reaches no server', async () => {
+    const {requestCounts, report} = await runRequest({
+      scripts: [(_, response) => response.end()],
+      disconnectSignal: AbortSignal.abort(),
+    });
+    assert.equal(requestCounts, [0]);
+    assert.is(report.error?.code, 'cancelled');
+  });
+});
--- a/packages/gateway/__tests__/store_watcher.spec.ts
+++ b/packages/gateway/__tests__/store_watcher.spec.ts
@@ -7,6 +7,9 @@
 import {createStoreWatcher} from '../src/state/store_watcher.js';
 import {createConfiguration, silentLogger} from './support/fixtures.js';
 
+const WATCH_MS = 100;
+const SLOW_READ_MS = 400;
+
 type Call = (revision: number) => Promise<StoreSnapshot>;
 
 function createSnapshot(
@@ -74,7 +77,7 @@
     clusterState,
     clock: createSystemClock(),
     logger: silentLogger,
-    watchMs: 100,
+    watchMs: WATCH_MS,
     computeDelay: () => 0,
     onRead: isSuccess => results.push(isSuccess),
   });
@@ -126,6 +129,36 @@
     assert.equal(calls, ['all', 'watch 7', 'all', 'watch 20']);
   });
 
+  // Guards against a key that is accepted for too long: the answer, or a page of it, may
+  // be as old as the call.
+  it('counts the age of the state from the request of a slow read', async () => {
+    const {clusterState} = await runWatcher(
+      [
+        async () => {
+          await waitFor(SLOW_READ_MS);
+          return createSnapshot(7, 1, true);
+        },
+      ],
+      [],
+    );
+    const ageMs = clusterState.computeAge(performance.now());
+    assert.ok(ageMs >= SLOW_READ_MS - 1, `${ageMs} ms`);
+  });
+
+  it('counts the age from the end of a watch without changes', async () => {
+    const {clusterState} = await runWatcher(
+      [async () => createSnapshot(7, 1, true)],
+      [
+        async () => {
+          await waitFor(SLOW_READ_MS);
+          return {revision: 7, isFull: false, changes: []};
+        },
+      ],
+    );
+    const ageMs = clusterState.computeAge(performance.now());
+    assert.ok(ageMs >= SLOW_READ_MS - WATCH_MS - 1, `${ageMs} ms`);
+  });
+
   it('retries the first read until it succeeds', async () => {
     const {calls} = await runWatcher(
       [fail('platform_unavailable'), async () => createSnapshot(7, 1, true)],
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,8 @@
 /** Part of the grace period reserved for writing the last bytes before the kill. */
 const SHUTDOWN_MARGIN_MS = 400;
 const DRAIN_POLL_INTERVAL_MS = 50;
+/** Some turns of the event loop, in which the ends of connections are read. */
+const DISCONNECT_READ_MS = 5;
 
 /** Creates a gateway; it does not listen before `start` is called. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -97,7 +99,15 @@
   let isStopping = false;
   let maintenanceTimer: NodeJS.Timeout | undefined;
 
-  const pauses = createPauseDetector({clock, logger});
+  const pauses = createPauseDetector({
+    clock,
+    logger,
+    onPause: () => {
+      if (clusterState.getConfiguration() && !keyTrust.isFresh()) {
+        watcher.refresh();
+      }
+    },
+  });
 
   const seedIndex = settings.seeds.indexOf(settings.listen.peers);
   const schedule = createReadSchedule({
@@ -196,6 +206,7 @@
     loads,
     locations,
     quarantine,
+    pauses,
     clock,
     logger,
     onMessage: (address, message) =>
@@ -249,7 +260,12 @@
   async function grantAccess(
     metadata: RequestMetadata,
   ): Promise<GrantedAccess> {
+    pauses.checkPause();
     keyTrust.checkSuspension();
+    if (pauses.computeWaitedMs() > 0) {
+      // The end of the caller's connection may have arrived meanwhile as well.
+      await waitFor(DISCONNECT_READ_MS);
+    }
     await keyTrust.waitForConfirmation(metadata.deadlineMs);
     return checkAccess(metadata, {
       clusterState,
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -7,9 +7,10 @@
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {ClusterState} from '../state/cluster_state.js';
 import type {ServerLoads} from '../state/server_loads.js';
+import type {PauseDetector} from '../state/pause_detector.js';
 import {createSuspensionDetector} from '../state/suspension.js';
 import {decodeGossip, encodeGossip} from './gossip_message.js';
-import type {GossipMessage} from './gossip_message.js';
+import type {GossipEnvelope, GossipMessage} from './gossip_message.js';
 import {GOSSIP_ROUND_MS, createGossipNode} from './gossip_node.js';
 import type {GossipDatagram} from './message_builder.js';
 
@@ -21,6 +22,7 @@
   loads: ServerLoads;
   locations: PrefixLocations;
   quarantine: PromptQuarantine;
+  pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
   /**
@@ -49,9 +51,30 @@
  */
 const BACKLOG_MS = 200;
 
+/**
+ * Raises the age of the cluster state in a message by the time for which the message
+ * may have waited to be read: the sender stated the age as of its sending. An instance
+ * that forwards the message passes the higher age on.
+ */
+export function addWaitedTime(
+  envelope: GossipEnvelope,
+  waitedMs: number,
+): GossipEnvelope {
+  const {message} = envelope;
+  return waitedMs === 0
+    ? envelope
+    : {
+        ...envelope,
+        message: {
+          ...message,
+          confirmedAgeMs: message.confirmedAgeMs + waitedMs,
+        },
+      };
+}
+
 /** Creates a task; it opens no port before `start` is called. */
 export function createGossipTask(options: GossipTaskOptions): GossipTask {
-  const {clusterState, clock, logger} = options;
+  const {clusterState, clock, logger, pauses} = options;
   const {random = Math.random} = options;
   const self = options.describeSelf();
   const node = createGossipNode({
@@ -124,15 +147,17 @@
 
   function handleMessage(bytes: Buffer, source: RemoteInfo): void {
     const now = clock.now();
+    pauses.checkPause();
     checkSuspension(now);
     if (now < ignoredUntil) {
       return;
     }
-    const envelope = decodeGossip(bytes);
-    if (!envelope) {
+    const received = decodeGossip(bytes);
+    if (!received) {
       logger.debug('gossip_invalid', {bytes: bytes.length});
       return;
     }
+    const envelope = addWaitedTime(received, pauses.computeWaitedMs());
     const {message} = envelope;
     const {isAccepted, datagrams} = node.receive(envelope, now);
     if (!isAccepted) {
@@ -142,7 +167,8 @@
     sendDatagrams(datagrams);
     clusterState.confirmByPeer(message, now);
     if (envelope.hopDigest === message.digest) {
-      options.onMessage(`${source.address}:${source.port}`, message);
+      // A fetch finds out the age by itself, so it does not depend on the wait.
+      options.onMessage(`${source.address}:${source.port}`, received.message);
     }
   }
 
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -409,6 +409,9 @@
   async function runAttempts(): Promise<RouterError | undefined> {
     budgets.recordRequest(route, clock.now());
     for (;;) {
+      if (disconnectSignal.aborted) {
+        return new RouterError('cancelled', 'the caller disconnected');
+      }
       if (prompt.isQuarantined()) {
         return buildQuarantineError();
       }
--- a/packages/gateway/src/state/cluster_state.ts
+++ b/packages/gateway/src/state/cluster_state.ts
@@ -54,8 +54,15 @@
 
 /** Cached cluster state; `now` is the local monotonic time in milliseconds. */
 export interface ClusterState {
-  /** Applies an answer of the store that was received at `now`. */
-  applyStoreSnapshot(snapshot: StoreSnapshot, now: number): void;
+  /**
+   * Applies an answer of the store that was received at `now` and holds what the store
+   * had at `confirmedAt` or later.
+   */
+  applyStoreSnapshot(
+    snapshot: StoreSnapshot,
+    now: number,
+    confirmedAt?: number,
+  ): void;
   /** Applies the state of a peer unless it has a lower revision than this instance. */
   applyPeerSnapshot(snapshot: ClusterStateSnapshot, now: number): void;
   /**
@@ -245,7 +252,11 @@
     endUnlistedEvacuations(new Set(dataCentres), now);
   }
 
-  function applyStoreSnapshot(snapshot: StoreSnapshot, now: number): void {
+  function applyStoreSnapshot(
+    snapshot: StoreSnapshot,
+    now: number,
+    storeConfirmedAt = now,
+  ): void {
     if (configuration && now - confirmedAt > UNCONFIRMED_GAP_MS) {
       storeFailedAt = now;
     }
@@ -259,7 +270,7 @@
     }
     revision = nextRevision;
     areDifferencesSound = true;
-    confirmedAt = Math.max(confirmedAt, now);
+    confirmedAt = Math.max(confirmedAt, storeConfirmedAt);
     listConfirmedAt = now;
   }
 
--- a/packages/gateway/src/state/store_watcher.ts
+++ b/packages/gateway/src/state/store_watcher.ts
@@ -75,14 +75,33 @@
     );
   }
 
-  function acceptSnapshot(snapshot: StoreSnapshot): void {
+  /**
+   * Returns the earliest time at which the store can have made an answer. It may
+   * have waited to be read, and pages of a full read are made one after the other.
+   */
+  function computeConfirmedAt(
+    {isFull, changes}: StoreSnapshot,
+    requestedAt: number,
+  ): number {
+    // A watch without changes ends when its time is over.
+    const isWholeWatch = !isFull && changes.length === 0;
+    return isWholeWatch
+      ? Math.min(clock.now(), requestedAt + watchMs)
+      : requestedAt;
+  }
+
+  function acceptSnapshot(snapshot: StoreSnapshot, requestedAt: number): void {
     if (!isConnected) {
       logger.info('store_connected', {revision: snapshot.revision, failures});
     }
     isConnected = true;
     failures = 0;
     isHistoryLost = false;
-    clusterState.applyStoreSnapshot(snapshot, clock.now());
+    clusterState.applyStoreSnapshot(
+      snapshot,
+      clock.now(),
+      computeConfirmedAt(snapshot, requestedAt),
+    );
     options.onRead(true);
   }
 
@@ -123,7 +142,8 @@
     }
     isRefreshRequested = false;
     try {
-      acceptSnapshot(await readNext());
+      const requestedAt = clock.now();
+      acceptSnapshot(await readNext(), requestedAt);
     } catch (error) {
       // A call that a refresh has cancelled says nothing about the store.
       if (!isRefreshRequested) {
