--- a/packages/gateway/__tests__/exchange.spec.ts
+++ b/packages/gateway/__tests__/exchange.spec.ts
@@ -191,4 +191,39 @@
       assert.is(result.end, 'not sent');
     });
   });
+
+  // Guards against an error in the code of the caller for an odd entry of a server,
+  // which left the request counted as open at that server.
+  describe('a request that cannot be sent', () => {
+    for (const [name, changes] of Object.entries({
+      'a port out of range': {address: '127.0.0.1:99999'},
+      'a path with a line break': {url: '/\r\n'},
+      'a header with a line break': {headers: ['x-a', '1\r\nx-b: 2']},
+    })) {
+      it(`is reported as not sent: ${name}`, async () => {
+        const connections = createServerConnections();
+        const end = await new Promise<string>(resolve => {
+          startExchange(
+            {
+              agent: connections.agent,
+              address: '127.0.0.1:1',
+              method: 'GET',
+              url: '/',
+              headers: [],
+              body: Buffer.alloc(0),
+              ...changes,
+            },
+            {
+              onAnswer: () => undefined,
+              onData: () => 1,
+              onEnd: () => resolve('end'),
+              onFailure: (_, isSent) => resolve(isSent ? 'sent' : 'not sent'),
+            },
+          );
+        });
+        connections.close();
+        assert.is(end, 'not sent');
+      });
+    }
+  });
 });
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -49,6 +49,24 @@
   return (error as NodeJS.ErrnoException).syscall === 'connect';
 }
 
+/** Reports a request that cannot be sent, after the caller has its exchange. */
+function reportUnsendable(error: Error, handlers: ExchangeHandlers): Exchange {
+  let isAborted = false;
+  process.nextTick(() => {
+    if (!isAborted) {
+      handlers.onFailure(error, false);
+    }
+  });
+  return {
+    abort: () => {
+      isAborted = true;
+    },
+    closeAfterAnswer: () => undefined,
+    pause: () => undefined,
+    resume: () => undefined,
+  };
+}
+
 export function startExchange(
   options: ExchangeOptions,
   handlers: ExchangeHandlers,
@@ -107,14 +125,20 @@
     }
   }
 
-  const outgoing: ClientRequest = startRequest({
-    ...splitAddress(address),
-    agent,
-    method,
-    path: url,
-    headers: buildFramedHeaders(method, options.headers, body.length),
-    setHost: false,
-  });
+  let outgoing: ClientRequest;
+  try {
+    outgoing = startRequest({
+      ...splitAddress(address),
+      agent,
+      method,
+      path: url,
+      headers: buildFramedHeaders(method, options.headers, body.length),
+      setHost: false,
+    });
+  } catch (error) {
+    // node:http throws for a port, a path or a header that it can't send.
+    return reportUnsendable(error as Error, handlers);
+  }
   outgoing.on('response', readAnswer);
   outgoing.on('error', fail);
   outgoing.on('close', () => {
