fix(gateway): requests at the end of a grace period get an answer

Callers saw: in a planned stop, requests that a server still worked on at the end of the grace period, also such that may run only once, were cut without an answer; some of them had come after the signal.

Cause: requests were accepted for 3 s after the signal whatever their time limit, and the listener then closed with what was open.

Change: what may run only once and may not end in time is refused as not run; shortly before the end open requests get 502 (outcome unknown; 503 if nothing was sent); begun streams are cut. The error interrupted is new.

--- a/packages/gateway/__tests__/caller_server.spec.ts
+++ b/packages/gateway/__tests__/caller_server.spec.ts
@@ -4,6 +4,8 @@
 import {waitFor} from '@buckthornbeam/shared';
 import {describe, it} from '@buckthornbeam/testing';
 import * as assert from 'uvu/assert';
+import {RouteKind} from '../src/model.js';
+import type {Route} from '../src/model.js';
 import {
   HOST,
   openSocket,
@@ -13,6 +15,7 @@
 /** Far more than the buffers of a connection hold. */
 const BODY_BYTES = 16_000_000;
 const POLL_MS = 20;
+const DRAIN_MS = 10_000;
 
 /** Starts a caller server before a backend server that sends a large body. */
 async function startServers() {
@@ -49,7 +52,7 @@
     socket.write('GET /a/ HTTP/1.1\r\nHost: host\r\n\r\n');
     await waitFor(700);
     assert.is(callers.countOpen(), 1);
-    callers.beginDrain();
+    callers.beginDrain(performance.now() + DRAIN_MS);
     callers.refuseNewRequests();
     callers.closeIdleConnections();
     socket.resume();
@@ -90,7 +93,7 @@
     }
     await waitFor(5 * POLL_MS);
     assert.is(callers.countOpen(), 0);
-    callers.beginDrain();
+    callers.beginDrain(performance.now() + DRAIN_MS);
     callers.closeIdleConnections();
     await waitFor(5 * POLL_MS);
     assert.ok(unused!.closed && used!.closed);
@@ -118,3 +121,111 @@
     close();
   });
 });
+
+const HOLD_MS = 150;
+
+/** Starts a caller server before a backend server that reads requests and is silent. */
+async function startSilentBackend(route: Partial<Route>) {
+  let requests = 0;
+  const backend = createServer(request => {
+    requests += 1;
+    request.resume();
+  });
+  await new Promise<void>(resolve => backend.listen(0, HOST, () => resolve()));
+  const {port: backendPort} = backend.address() as AddressInfo;
+  const gateway = await startCallerGateway({
+    backendPort,
+    route,
+    deadlineMs: 5000,
+  });
+  return {
+    ...gateway,
+    countRequests: () => requests,
+    close: () => {
+      gateway.close();
+      backend.closeAllConnections();
+      backend.close();
+    },
+  };
+}
+
+/** Collects what a caller receives. */
+function recordAnswer(socket: Socket): () => string {
+  let answer = '';
+  socket.on('data', bytes => (answer += bytes.toString()));
+  return () => answer;
+}
+
+describe('a planned stop', () => {
+  // Guards against requests that are cut without an answer at the end of the grace.
+  for (const kind of [RouteKind.SAFE, RouteKind.UNSAFE, RouteKind.STREAM]) {
+    it(`answers a request that a server still works on: ${kind}`, async () => {
+      const {callers, port, close} = await startSilentBackend({kind});
+      const socket = await openSocket(port);
+      const getAnswer = recordAnswer(socket);
+      socket.write(
+        'POST /a/ HTTP/1.1\r\nHost: host\r\nContent-Length: 0\r\n\r\n',
+      );
+      await waitFor(HOLD_MS);
+      callers.beginDrain(performance.now());
+      callers.refuseNewRequests();
+      callers.endOpenRequests();
+      await waitFor(HOLD_MS);
+      assert.match(getAnswer(), /^HTTP\/1\.1 502 /);
+      assert.match(getAnswer(), /"code":"interrupted"/);
+      assert.match(getAnswer(), /"outcome":"unknown"/);
+      assert.is(callers.countOpen(), 0);
+      close();
+    });
+  }
+
+  it('answers a request whose body is not complete as not run', async () => {
+    const {callers, port, countRequests, close} = await startSilentBackend({});
+    const socket = await openSocket(port);
+    const getAnswer = recordAnswer(socket);
+    socket.write(
+      'POST /a/ HTTP/1.1\r\nHost: host\r\nContent-Length: 5\r\n\r\nab',
+    );
+    await waitFor(HOLD_MS);
+    callers.beginDrain(performance.now());
+    callers.endOpenRequests();
+    await waitFor(HOLD_MS);
+    assert.match(getAnswer(), /^HTTP\/1\.1 503 /);
+    assert.is(countRequests(), 0);
+    close();
+  });
+
+  it('refuses what may run only once and could be cut', async () => {
+    const {callers, port, countRequests, close} = await startSilentBackend({
+      kind: RouteKind.UNSAFE,
+      timeoutMs: 2000,
+    });
+    callers.beginDrain(performance.now() + 1000);
+    const socket = await openSocket(port);
+    const getAnswer = recordAnswer(socket);
+    socket.write(
+      'POST /a/ HTTP/1.1\r\nHost: host\r\nContent-Length: 0\r\n\r\n',
+    );
+    await waitFor(HOLD_MS);
+    assert.match(getAnswer(), /^HTTP\/1\.1 503 /);
+    assert.match(getAnswer(), /Retry-After: /);
+    assert.is(countRequests(), 0);
+    close();
+  });
+
+  it('accepts what may run only once and ends in time', async () => {
+    const {callers, port, countRequests, close} = await startSilentBackend({
+      kind: RouteKind.UNSAFE,
+      timeoutMs: 2000,
+    });
+    callers.beginDrain(performance.now() + 3000);
+    const socket = await openSocket(port);
+    socket.write(
+      'POST /a/ HTTP/1.1\r\nHost: host\r\nContent-Length: 0\r\n\r\n',
+    );
+    await waitFor(HOLD_MS);
+    assert.is(countRequests(), 1);
+    socket.destroy();
+    close();
+  });
+});
--- a/packages/gateway/__tests__/request_relay.spec.ts
+++ b/packages/gateway/__tests__/request_relay.spec.ts
@@ -166,6 +166,7 @@
       maximumAnswerBytes: 1_000_000,
       random: () => 0.5,
       quarantine: createTestGuard(),
+      stopSignal: new AbortController().signal,
     },
   );
   connections.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,10 @@
 const CLOSE_IDLE_DELAY_MS = 1500;
 /** Part of the grace period reserved for writing the last bytes before the kill. */
 const SHUTDOWN_MARGIN_MS = 400;
+/** Part of this margin in which the last answers are written. */
+const LAST_ANSWERS_MS = 250;
+/** Part of the grace period in which new requests are accepted at most. */
+const ACCEPTING_RATIO = 0.5;
 const DRAIN_POLL_INTERVAL_MS = 50;
 /** Some turns of the event loop, in which the ends of connections are read. */
 const DISCONNECT_READ_MS = 5;
@@ -382,18 +386,27 @@
     const startedAt = clock.now();
     const drainDeadline =
       startedAt + settings.stop.graceMs - SHUTDOWN_MARGIN_MS;
+    const acceptingMs = Math.min(
+      STOP_ACCEPTING_DELAY_MS,
+      settings.stop.graceMs * ACCEPTING_RATIO,
+    );
+    const closeIdleMs = Math.min(CLOSE_IDLE_DELAY_MS, acceptingMs);
     isStopping = true;
-    callerServer.beginDrain();
+    callerServer.beginDrain(drainDeadline);
     gossip.announce();
     logger.info('stopping', {open: callerServer.countOpen()});
-    await waitFor(CLOSE_IDLE_DELAY_MS);
+    await waitFor(closeIdleMs);
     callerServer.closeIdleConnections();
-    await waitFor(STOP_ACCEPTING_DELAY_MS - CLOSE_IDLE_DELAY_MS);
+    await waitFor(acceptingMs - closeIdleMs);
     callerServer.refuseNewRequests();
     callerServer.closeIdleConnections();
     await waitForRequests(drainDeadline);
+    const interrupted = callerServer.countOpen();
+    callerServer.endOpenRequests();
+    await waitForRequests(clock.now() + LAST_ANSWERS_MS);
     closeAll();
     logger.info('stopped', {
+      interrupted,
       open: callerServer.countOpen(),
       tookMs: Math.round(clock.now() - startedAt),
     });
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -1,4 +1,5 @@
 /** HTTP server for callers: accepts requests, enforces limits and relays them. */
+import {setMaxListeners} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -6,7 +7,8 @@
 import {RouterError, splitAddress, toRouterError} from '@buckthornbeam/shared';
 import type {Clock, LogFields, Logger} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
-import type {CallerLimits, RequestMetadata} from '../model.js';
+import {RouteKind} from '../model.js';
+import type {CallerLimits, RequestMetadata, Route} from '../model.js';
 import type {CallerDialect} from '../ports.js';
 import {createCallerAnswer} from '../relay/caller_answer.js';
 import type {CallerAnswer} from '../relay/caller_answer.js';
@@ -24,7 +26,7 @@
   /** `host:port` */
   address: string;
   dialect: CallerDialect;
-  relay: RelayContext;
+  relay: Omit<RelayContext, 'stopSignal'>;
   /** @throws RouterError if the request is not allowed */
   grantAccess: (metadata: RequestMetadata) => Promise<GrantedAccess>;
   getLimits: () => CallerLimits | undefined;
@@ -42,10 +44,16 @@
   start(): Promise<void>;
   /** Counts requests whose answer is not yet handed over to the last byte. */
   countOpen(): number;
-  /** Closes each connection after its next answer. */
-  beginDrain(): void;
+  /**
+   * Closes each connection after its next answer. A request that may run only once is
+   * refused unless its time is over before the time of the clock at which open
+   * requests end.
+   */
+  beginDrain(requestsEndAt: number): void;
   /** Answers new requests with the error `leaving`. */
   refuseNewRequests(): void;
+  /** Gives all open requests their last answer; streams that have begun are cut. */
+  endOpenRequests(): void;
   closeIdleConnections(): void;
   stop(): void;
 }
@@ -131,8 +139,12 @@
   const {dialect, relay, clock, logger, metrics} = options;
   let openRequests = 0;
   let bufferedBytes = 0;
-  let isDraining = false;
   let isRefusing = false;
+  /** When open requests end, in local time; Infinity while the instance does not stop. */
+  let requestsEndAt = Infinity;
+  const stopping = new AbortController();
+  // Each open request adds listeners.
+  setMaxListeners(0, stopping.signal);
 
   function getLimits(): CallerLimits {
     return options.getLimits() ?? INITIAL_LIMITS;
@@ -149,11 +161,26 @@
     }
   }
 
+  function buildLeavingError(): RouterError {
+    return new RouterError('leaving', 'the instance is stopping', {
+      retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
+    });
+  }
+
+  /** Refuses a request that may run only once and could be cut by the stop. */
+  function assertCanEnd(
+    {kind, timeoutMs}: Route,
+    {deadlineMs = Infinity}: RequestMetadata,
+  ): void {
+    const endsAt = clock.now() + Math.min(deadlineMs, timeoutMs);
+    if (kind === RouteKind.UNSAFE && endsAt > requestsEndAt) {
+      throw buildLeavingError();
+    }
+  }
+
   function assertCapacity(): void {
     if (isRefusing) {
-      throw new RouterError('leaving', 'the instance is stopping', {
-        retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
-      });
+      throw buildLeavingError();
     }
     const isFull =
       openRequests > options.maximumOpenRequests ||
@@ -180,11 +207,13 @@
       maximumBytes: maximumBodyBytes,
       idleTimeoutMs: headerTimeoutMs,
       timeLimitMs: metadata.deadlineMs,
+      stopSignal: stopping.signal,
     });
     bufferedBytes += body.length;
     log.bodyBytes = body.length;
     assertCapacity();
     const {route, customer, urgency} = await options.grantAccess(metadata);
+    assertCanEnd(route, metadata);
     log.route = route.name;
     log.customer = customer?.name;
     log.priority = customer?.priority ?? route.priority;
@@ -265,7 +294,7 @@
     const log: RequestLog = {};
     const answer = createCallerAnswer({
       response,
-      mustCloseConnection: () => isDraining,
+      mustCloseConnection: () => requestsEndAt !== Infinity,
     });
     openRequests += 1;
     response.on('close', () => {
@@ -280,7 +309,10 @@
         receivedAt,
         log,
       );
-      log.report = await relayRequest(accepted, answer, relay);
+      log.report = await relayRequest(accepted, answer, {
+        ...relay,
+        stopSignal: stopping.signal,
+      });
     } catch (error) {
       log.error = toRouterError(error);
       if (!request.complete) {
@@ -330,12 +362,13 @@
         });
       }),
     countOpen: () => openRequests,
-    beginDrain: () => {
-      isDraining = true;
+    beginDrain: endAt => {
+      requestsEndAt = endAt;
     },
     refuseNewRequests: () => {
       isRefusing = true;
     },
+    endOpenRequests: () => stopping.abort(),
     closeIdleConnections: () => connections.closeIdle(),
     stop: () => {
       server.close();
--- a/packages/gateway/src/http/request_body.ts
+++ b/packages/gateway/src/http/request_body.ts
@@ -12,6 +12,8 @@
   idleTimeoutMs: number;
   /** Time limit for the whole body: nobody waits for the answer after it. */
   timeLimitMs?: number | undefined;
+  /** Aborted when the instance ends the requests that are still open. */
+  stopSignal?: AbortSignal;
 }
 
 /** Longest delay of a timer of Node.js. */
@@ -19,7 +21,7 @@
 
 /**
  * Reads a complete body.
- * @throws RouterError `body_too_large`, `request_timeout`, `cancelled`
+ * @throws RouterError `body_too_large`, `request_timeout`, `cancelled`, `leaving`
  */
 export function readBody(
   request: IncomingMessage,
@@ -50,9 +52,14 @@
       failLate,
       Math.min(MAXIMUM_TIMER_MS, options.timeLimitMs ?? MAXIMUM_TIMER_MS),
     );
+    function failStopped(): void {
+      fail(new RouterError('leaving', 'the instance is stopping'));
+    }
+    options.stopSignal?.addEventListener('abort', failStopped);
     function clearTimers(): void {
       clearTimeout(idleTimer);
       clearTimeout(endTimer);
+      options.stopSignal?.removeEventListener('abort', failStopped);
     }
     function fail(error: RouterError): void {
       clearTimers();
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -38,6 +38,8 @@
   maximumAnswerBytes: number;
   quarantine: QuarantineGuard;
   random: () => number;
+  /** Aborted when the instance ends the requests that are still open. */
+  stopSignal: AbortSignal;
 }
 
 /** A request with complete body, route and customer. */
@@ -89,6 +91,8 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Reason of an attempt that ends because its prompt is quarantined. */
 const QUARANTINED_REASON = 'prompt_quarantined';
+/** Reason of an attempt that ends because the instance stops. */
+const INTERRUPTED_REASON = 'interrupted';
 
 /** Whether the request may run on more than one server. */
 function isRepeatable({route}: AcceptedRequest): boolean {
@@ -104,7 +108,7 @@
   answer: CallerAnswer,
   context: RelayContext,
 ): Promise<RelayReport> {
-  const {clock, selection, activity, budgets} = context;
+  const {clock, selection, activity, budgets, stopSignal} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
   const timeLimitMs = Math.min(
@@ -141,7 +145,12 @@
    * server, the code is `server_unreachable` and the outcome is unknown.
    */
   function refuse(
-    code: 'overloaded' | 'no_server' | 'server_refused' | 'server_unreachable',
+    code:
+      | 'overloaded'
+      | 'no_server'
+      | 'server_refused'
+      | 'server_unreachable'
+      | 'leaving',
     detail: string,
   ): RouterError {
     const remainingMs = Math.max(0, deadlineAt - clock.now());
@@ -189,6 +198,7 @@
       if (
         selected ||
         disconnectSignal.aborted ||
+        stopSignal.aborted ||
         clock.now() + SELECTION_POLL_MS > waitEndsAt
       ) {
         return selected;
@@ -264,7 +274,10 @@
     }, UNRESPONSIVE_POLL_MS);
     const cancel = () => attempt.abort('caller_left');
     disconnectSignal.addEventListener('abort', cancel);
+    const abortForStop = () => attempt.abort(INTERRUPTED_REASON);
+    stopSignal.addEventListener('abort', abortForStop);
     return () => {
+      stopSignal.removeEventListener('abort', abortForStop);
       clearTimeout(timer);
       clearInterval(pollTimer);
       disconnectSignal.removeEventListener('abort', cancel);
@@ -340,7 +353,12 @@
   /** Whether the request may be sent to another server after this result. */
   function canRepeat(result: AttemptResult, serviceName: string): boolean {
     const hasTime = deadlineAt - clock.now() > MINIMUM_ATTEMPT_MS;
-    if (!hasTime || disconnectSignal.aborted || result.reason === 'deadline') {
+    if (
+      !hasTime ||
+      disconnectSignal.aborted ||
+      stopSignal.aborted ||
+      result.reason === 'deadline'
+    ) {
       return false;
     }
     const isNotRun = result.end === AttemptEnd.NOT_RUN;
@@ -382,6 +400,13 @@
         {outcome: Outcome.UNKNOWN},
       );
     }
+    if (result.reason === INTERRUPTED_REASON) {
+      return new RouterError(
+        'interrupted',
+        'the instance stopped before the answer was complete',
+        {outcome: Outcome.UNKNOWN},
+      );
+    }
     if (result.end === AttemptEnd.NOT_RUN) {
       return refuse(
         'server_refused',
@@ -412,6 +437,9 @@
       if (disconnectSignal.aborted) {
         return new RouterError('cancelled', 'the caller disconnected');
       }
+      if (stopSignal.aborted) {
+        return refuse('leaving', 'the instance is stopping');
+      }
       if (prompt.isQuarantined()) {
         return buildQuarantineError();
       }
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -218,6 +218,11 @@
     title: 'The answer of the backend server is not valid.',
     advice: 'Look the outcome up before the request is repeated.',
   },
+  interrupted: {
+    status: 502,
+    title: 'The instance stopped while a backend server was at work.',
+    advice: 'Look the outcome up before the request is repeated.',
+  },
   prompt_quarantined: {
     status: 500,
     title: 'The prompt has a block that ends backend servers.',
