fix(gateway): errors of the parser are answered after the answers under way

Callers saw: 400 or 408 for bytes that are no request, written before the answer of a request that still ran on the connection; they take it for that answer, and 408 states that the request did not run.

Cause: answerParserError wrote to the connection at once. Ruled out: a second answer of a server (second_answer.spec).

Change: the status is written once no answer is under way on the connection.

--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -345,9 +345,12 @@
     },
   );
   const connections = createCallerConnections(server);
-  server.on('clientError', (error, socket) =>
-    answerParserError(error, socket as Socket),
-  );
+  server.on('clientError', (error, socket) => {
+    // Before that answer, the status would be taken for that of its request.
+    connections.waitForAnswers(socket as Socket, () =>
+      answerParserError(error, socket as Socket),
+    );
+  });
   server.keepAliveTimeout =
     INITIAL_LIMITS.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
 
