fix(gateway): a malformed body is answered with 400 at once again

Cause: the status waited for all answers under way on the connection, also for that of the very request that can never be complete.

Change: only complete requests are waited for; one whose body is not complete is not passed on. Tests: request_framing (5 failing before) and caller_server, all passing.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -2,33 +2,42 @@
  * Tells idle connections of callers from those in use. `closeIdleConnections` of
  * node:http also closes connections on which an answer still waits to be sent.
  */
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 export interface CallerConnections {
   /** Keeps the connection in use until the answer is handed over. */
-  recordRequest(socket: Socket, response: ServerResponse): void;
-  /** Calls `run` once no answer is under way on a connection; at once if none is. */
+  recordRequest(request: IncomingMessage, response: ServerResponse): void;
+  /**
+   * Calls `run` once no complete request of a connection waits for its answer; at once
+   * if none does.
+   */
   waitForAnswers(socket: Socket, run: () => void): void;
   /** Closes the connections without a request, also without a part of one. */
   closeIdle(): void;
 }
 
 interface ConnectionState {
-  openAnswers: number;
+  /** Requests whose answers are under way. */
+  openRequests: Set<IncomingMessage>;
   /** Bytes received until the end of the last answer. */
   usedBytes: number;
-  /** Called once no answer is under way. */
+  /** Called once no complete request waits for its answer. */
   onIdle: (() => void) | undefined;
 }
 
+/** A request with a body that is not complete is not passed on. */
+function hasCompleteRequest({openRequests}: ConnectionState): boolean {
+  return [...openRequests].some(request => request.complete);
+}
+
 /** Follows the connections of a server from now on. */
 export function createCallerConnections(server: Server): CallerConnections {
   const connections = new Map<Socket, ConnectionState>();
 
   server.on('connection', (socket: Socket) => {
     connections.set(socket, {
-      openAnswers: 0,
+      openRequests: new Set(),
       usedBytes: 0,
       onIdle: undefined,
     });
@@ -36,31 +45,32 @@
   });
 
   return {
-    recordRequest: (socket, response) => {
+    recordRequest: (request, response) => {
+      const {socket} = request;
       const state = connections.get(socket);
       if (!state) {
         return;
       }
-      state.openAnswers += 1;
+      state.openRequests.add(request);
       response.once('close', () => {
-        state.openAnswers -= 1;
+        state.openRequests.delete(request);
         state.usedBytes = socket.bytesRead;
-        if (state.openAnswers === 0) {
+        if (!hasCompleteRequest(state)) {
           state.onIdle?.();
         }
       });
     },
     waitForAnswers: (socket, run) => {
       const state = connections.get(socket);
-      if (state && state.openAnswers > 0) {
+      if (state && hasCompleteRequest(state)) {
         state.onIdle = run;
       } else {
         run();
       }
     },
     closeIdle: () => {
-      for (const [socket, {openAnswers, usedBytes}] of connections) {
-        if (openAnswers === 0 && socket.bytesRead === usedBytes) {
+      for (const [socket, {openRequests, usedBytes}] of connections) {
+        if (openRequests.size === 0 && socket.bytesRead === usedBytes) {
           socket.destroy();
         }
       }
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -340,7 +340,7 @@
       const limits = getLimits();
       server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
       server.headersTimeout = limits.headerTimeoutMs;
-      connections.recordRequest(request.socket, response);
+      connections.recordRequest(request, response);
       void serveRequest(request, response);
     },
   );
