--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -50,4 +50,11 @@
     },
     rules: {'n/no-unpublished-import': 'off'},
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: globals.node,
+    },
+  },
 ];
--- a/packages/decisions/src/crash_evidence.ts
+++ b/packages/decisions/src/crash_evidence.ts
@@ -3,7 +3,7 @@
  * crash is evidence against the blocks of the requests that had no event of their
  * answer; an answer that begins later clears all blocks of its prompt.
  */
-import {LRUCache} from 'lru-cache';
+import {createLazyCache} from '@buckthornbeam/shared';
 
 /** A request whose server ended before the first event of its answer. */
 export interface CrashReport {
@@ -90,7 +90,7 @@
   let reports: CrashReport[] = [];
   /** Number of reports by block, cleared or not. */
   const reportCounts = new Map<number, number>();
-  const answeredAt = new LRUCache<number, number>({max: maximumBlocks});
+  const answeredAt = createLazyCache<number, number>(maximumBlocks);
 
   function updateCounts({blockHashes}: CrashReport, change: 1 | -1): void {
     for (const block of blockHashes) {
--- a/packages/decisions/src/prefix_locations.ts
+++ b/packages/decisions/src/prefix_locations.ts
@@ -5,8 +5,12 @@
  *
  * A location is the combined hash of a server and a prefix.
  */
-import {createCachedHash, hashToUint32} from '@buckthornbeam/shared';
-import {LRUCache} from 'lru-cache';
+import {
+  createCachedHash,
+  createLazyCache,
+  hashToUint32,
+} from '@buckthornbeam/shared';
+import type {LazyCache} from '@buckthornbeam/shared';
 import {createUpdateQueue} from './update_queue.js';
 
 /** A block of a prompt; prefixes end at block boundaries. */
@@ -115,14 +119,14 @@
 }
 
 export function createPrefixLocations({
-  maximumLocations: max = DEFAULT_MAXIMUM_LOCATIONS,
+  maximumLocations = DEFAULT_MAXIMUM_LOCATIONS,
 }: PrefixLocationsOptions = {}): PrefixLocations {
   /** Time of the last request with the prefix to the server, by location. */
-  const sentToServerAt = new LRUCache<number, number>({max});
+  const sentToServerAt = createLazyCache<number, number>(maximumLocations);
   /** Time of the last prefill, by location. */
-  const prefilledAt = new LRUCache<number, number>({max});
+  const prefilledAt = createLazyCache<number, number>(maximumLocations);
   /** Time of the last message to or from peers, by location. */
-  const announcedAt = new LRUCache<number, number>({max});
+  const announcedAt = createLazyCache<number, number>(maximumLocations);
   const hashServer = createCachedHash(MAXIMUM_SERVERS);
   const ownUpdates = createUpdateQueue<number>({
     maximumTaken: LOCATIONS_PER_MESSAGE,
@@ -137,7 +141,7 @@
   }
 
   function isRecent(
-    timestamps: LRUCache<number, number>,
+    timestamps: LazyCache<number, number>,
     location: number,
     now: number,
   ): boolean {
--- a/packages/shared/src/hash.ts
+++ b/packages/shared/src/hash.ts
@@ -1,7 +1,7 @@
 /** Hashes: xxHash for placement, SHA-256 for digests. */
 import {createHash} from 'node:crypto';
-import {LRUCache} from 'lru-cache';
 import createXxhash from 'xxhash-wasm';
+import {createLazyCache} from './lazy_cache.js';
 
 const xxhash = await createXxhash();
 
@@ -14,7 +14,7 @@
 export function createCachedHash(
   maximumTexts: number,
 ): (text: string) => number {
-  const hashes = new LRUCache<string, number>({max: maximumTexts});
+  const hashes = createLazyCache<string, number>(maximumTexts);
   return text => {
     let hash = hashes.get(text);
     if (hash === undefined) {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -14,6 +14,8 @@
   hashToUint32,
   rankByRendezvous,
 } from './hash.js';
+export {createLazyCache} from './lazy_cache.js';
+export type {LazyCache} from './lazy_cache.js';
 export {LogLevel, createLogger, formatFields, parseFields} from './logs.js';
 export type {LogFields, LogValue, Logger, LoggerOptions} from './logs.js';
 export {createMailbox} from './mailbox.js';
