feat(gateway): a store that is restored from an older copy

Cause: after a restore the store assigns revisions again. A watch from an earlier revision could succeed with changes missing, states of peers were ordered by revisions of different histories, an evacuation that the copy lacks ended, and a leaving server that the copy lists as ready was used again. The epoch that the store states in its answers was not read.

Change: epoch and revision form one position, built and split at the adapter. Answers of another epoch than that of the position are not applied. After a rise, evacuations and leaving servers of the state are kept, missing servers get the grace period of a failed store, and a later configuration is taken from peers of an earlier epoch.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -44,3 +44,8 @@
 } from './state/server_selection.js';
 export {parseGatewaySettings} from './settings.js';
 export type {GatewaySettings} from './settings.js';
+export {
+  buildStorePosition,
+  getStoreEpoch,
+  getStoreRevision,
+} from './state/store_position.js';
--- a/packages/gateway/src/peers/cluster_state_exchange.ts
+++ b/packages/gateway/src/peers/cluster_state_exchange.ts
@@ -120,12 +120,16 @@
   summary: StateSummary,
   clusterState: Pick<
     ClusterState,
-    'getConfiguration' | 'getRevision' | 'computeDigest'
+    | 'getConfiguration'
+    | 'getRevision'
+    | 'computeDigest'
+    | 'isConfigurationAhead'
   >,
 ): boolean {
   const ownVersion = clusterState.getConfiguration()?.version ?? 0;
   return (
-    summary.revision > clusterState.getRevision() &&
+    (summary.revision > clusterState.getRevision() ||
+      clusterState.isConfigurationAhead(summary)) &&
     summary.digest !== clusterState.computeDigest() &&
     summary.version >= ownVersion &&
     summary.version > 0 &&
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -73,7 +73,7 @@
 
 /** One answer of the store: a full listing or the changes since a revision. */
 export interface StoreSnapshot {
-  /** Revision up to which the changes are complete. */
+  /** Position (`buildStorePosition`) up to which the changes are complete. */
   revision: number;
   changes: readonly StoreChange[];
   /** Whether `changes` lists all entries, so that unlisted ones are gone. */
@@ -85,8 +85,9 @@
   /** Fetches all entries. @throws RouterError `platform_unavailable` */
   fetchAll(signal: AbortSignal): Promise<StoreSnapshot>;
   /**
-   * Waits up to `waitMs` for changes after a revision.
-   * @throws RouterError `platform_unavailable`, `platform_history_lost`
+   * Waits up to `waitMs` for changes after a position.
+   * @throws RouterError `platform_unavailable`, `platform_history_lost` also if the
+   *   store was restored from an older copy since
    */
   watchChanges(
     revision: number,
--- a/packages/gateway/src/state/cluster_state.ts
+++ b/packages/gateway/src/state/cluster_state.ts
@@ -7,11 +7,14 @@
 import type {Logger} from '@buckthornbeam/shared';
 import type {ServiceConfiguration} from '../model.js';
 import type {StoreChange, StoreSnapshot} from '../ports.js';
+import {createRestoredStore} from './restored_store.js';
 import {createServerEntries} from './server_entries.js';
 import type {SnapshotServer, TrackedServer} from './server_entries.js';
+import {getStoreEpoch} from './store_position.js';
 
 /** Cluster state that an instance sends to a peer, as JSON. */
 export interface ClusterStateSnapshot {
+  /** Position of the store, see `store_position`; the same holds for all revisions. */
   revision: number;
   /** Time since the store last confirmed the state, in milliseconds. */
   confirmedAgeMs: number;
@@ -80,6 +83,11 @@
   recordStoreFailure(now: number): void;
   getConfiguration(): ServiceConfiguration | undefined;
   getRevision(): number;
+  /**
+   * Whether a configuration that a peer has is later than the own one although the
+   * store that the own one comes from may have been restored from an older copy.
+   */
+  isConfigurationAhead(summary: Pick<StateSummary, 'version'>): boolean;
   /** Describes what a snapshot for this instance may leave out. */
   describeRequest(): SnapshotRequest;
   /**
@@ -129,6 +137,7 @@
   /** Whether the last difference from a peer led to the state of that peer. */
   let areDifferencesSound = true;
   const evacuated = new Set<string>();
+  const restoredStore = createRestoredStore();
   const entries = createServerEntries({
     logger,
     onChange: () => {
@@ -223,9 +232,14 @@
   } = {
     configuration: change =>
       acceptConfiguration(change.configuration, change.text),
-    evacuation: (change, now) =>
-      setEvacuated(change.dataCentre, change.isEvacuated, now),
-    server: (change, now) => entries.store(change.server, now),
+    evacuation: ({dataCentre, isEvacuated}, now) => {
+      restoredStore.confirmEvacuation(dataCentre);
+      setEvacuated(dataCentre, isEvacuated, now);
+    },
+    server: ({server}, now) => {
+      const previous = entries.find(server.id)?.server;
+      entries.store(restoredStore.mergeServer(server, previous, now), now);
+    },
     server_gone: (change, now) => removeServer(change.serverId, now),
   };
 
@@ -253,12 +267,30 @@
     now: number,
   ): void {
     for (const dataCentre of [...evacuated]) {
-      if (!listed.has(dataCentre)) {
+      if (
+        !listed.has(dataCentre) &&
+        !restoredStore.isEvacuationKept(dataCentre, now)
+      ) {
         setEvacuated(dataCentre, false, now);
       }
     }
   }
 
+  /**
+   * A store of a later epoch has lost what was written since its copy, so entries that
+   * are missing in it get the grace period of a failure.
+   */
+  function recordEpoch(position: number, now: number): void {
+    if (configuration && getStoreEpoch(position) > getStoreEpoch(revision)) {
+      logger.warn('store_restored', {
+        epoch: getStoreEpoch(position),
+        version: configuration.version,
+      });
+      storeFailedAt = now;
+      restoredStore.begin(evacuated, now);
+    }
+  }
+
   /** Removes the servers and evacuations that a full snapshot does not contain. */
   function removeUnlisted(changes: readonly StoreChange[], now: number): void {
     const serverIds = changes.flatMap(item =>
@@ -279,6 +311,7 @@
     if (configuration && now - confirmedAt > UNCONFIRMED_GAP_MS) {
       storeFailedAt = now;
     }
+    recordEpoch(snapshot.revision, now);
     recordStoreReturn(now);
     const nextRevision = Math.max(revision, snapshot.revision);
     entries.beginRevision(nextRevision);
@@ -288,6 +321,9 @@
     if (snapshot.isFull) {
       removeUnlisted(snapshot.changes, now);
     }
+    restoredStore
+      .takeUnconfirmed(now)
+      .forEach(dataCentre => setEvacuated(dataCentre, false, now));
     revision = nextRevision;
     areDifferencesSound = true;
     recordConfirmation(storeConfirmedAt);
@@ -300,6 +336,18 @@
     }
   }
 
+  /**
+   * Whether a peer has a later configuration than the copy from which the store was
+   * restored: this instance read the copy without having seen that configuration.
+   */
+  function isConfigurationAhead({version}: {version: number}): boolean {
+    return (
+      configuration !== undefined &&
+      version > configuration.version &&
+      getStoreEpoch(revision) > 0
+    );
+  }
+
   function applyPeerServers(snapshot: ClusterStateSnapshot, now: number): void {
     snapshot.servers.forEach(entry => entries.storeFromPeer(entry, now));
     snapshot.removedServerIds.forEach(id => entries.remove(id, now, 0));
@@ -318,6 +366,9 @@
     now: number,
   ): void {
     const {sinceRevision = revision} = snapshot;
+    if (isConfigurationAhead(snapshot)) {
+      acceptPeerConfiguration(snapshot.configurationText);
+    }
     if (snapshot.revision < revision || sinceRevision > revision) {
       return;
     }
@@ -392,6 +443,7 @@
     },
     getConfiguration: () => configuration,
     getRevision: () => revision,
+    isConfigurationAhead,
     describeRequest: () => ({
       version: configuration?.version ?? 0,
       revision: configuration && areDifferencesSound ? revision : undefined,
--- a/packages/gateway/src/state/store_watcher.ts
+++ b/packages/gateway/src/state/store_watcher.ts
@@ -6,6 +6,7 @@
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {StoreReader, StoreSnapshot} from '../ports.js';
 import type {ClusterState} from './cluster_state.js';
+import {getStoreEpoch, getStoreRevision} from './store_position.js';
 
 /** Options of {@link createStoreWatcher}. */
 export interface StoreWatcherOptions {
@@ -92,7 +93,11 @@
 
   function acceptSnapshot(snapshot: StoreSnapshot, requestedAt: number): void {
     if (!isConnected) {
-      logger.info('store_connected', {revision: snapshot.revision, failures});
+      logger.info('store_connected', {
+        epoch: getStoreEpoch(snapshot.revision),
+        revision: getStoreRevision(snapshot.revision),
+        failures,
+      });
     }
     isConnected = true;
     failures = 0;
