--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -45,7 +45,10 @@
 export {parseGatewaySettings} from './settings.js';
 export type {GatewaySettings} from './settings.js';
 export {
+  assertStoreEpoch,
   buildStorePosition,
   getStoreEpoch,
   getStoreRevision,
 } from './state/store_position.js';
+export {createSettingsFile} from './settings_file.js';
+export type {SettingsFile, SettingsFileOptions} from './settings_file.js';
