feat(gateway): instances share the faults of servers

Cause: a server that answers errors while it reports to be healthy was known to each instance by its own failures only.

Ruled out: a verdict of one instance that the others adopt (one bad link would exclude a server everywhere); more health checks (the servers say that they are well).

Change: counts of faults and answers by server travel as sums with the loads. Requests that may run once only are not sent to a server of which the fleet has three or more recent faults; repeatable ones still are and show when it is sound again. Answers with an error, or broken off, are told apart from refusals and deadlines.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -113,6 +113,12 @@
 } from './prefix_locations.js';
 export {createRepeatBudget} from './repeat_budget.js';
 export type {FleetRepeatBudget, RepeatBudget} from './repeat_budget.js';
+export {
+  createServerFaults,
+  isFaulty,
+  selectSoundServers,
+} from './server_faults.js';
+export type {FaultCounts, ServerFaults} from './server_faults.js';
 export {ServerOutcome, createServerOutcomes} from './server_outcomes.js';
 export type {ServerOutcomes} from './server_outcomes.js';
 export {
--- a/packages/decisions/src/server_outcomes.ts
+++ b/packages/decisions/src/server_outcomes.ts
@@ -7,8 +7,10 @@
 /** Outcome of a request to a server. */
 export const ServerOutcome = {
   ANSWERED: 'answered',
-  /** Refused, broken off, malformed or not answered. */
+  /** Refused or not answered in time. */
   FAILED: 'failed',
+  /** Answered with an error of the server, broken off or malformed. */
+  FAULTY: 'faulty',
   /** No connection could be established. */
   UNREACHABLE: 'unreachable',
 } as const;
--- a/packages/gateway/__tests__/gossip_task.spec.ts
+++ b/packages/gateway/__tests__/gossip_task.spec.ts
@@ -55,6 +55,7 @@
       knownHashes: [],
       quarantineNews: [],
       limitNews: [],
+      faultSums: [],
     },
     forwardTo: [],
     hopDigest: 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import {createServerConnections} from './relay/server_connections.js';
 import {createServerProbe} from './relay/server_probe.js';
 import type {GatewaySettings} from './settings.js';
+import {createFaultTracker} from './state/fault_tracker.js';
 import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
 import {createPauseDetector} from './state/pause_detector.js';
@@ -103,6 +104,9 @@
   });
   const loads = createServerLoads({onChange: () => gossip.reportChange()});
   const activity = createServerActivity();
+  const faults = settings.failures.shared
+    ? createFaultTracker({logger})
+    : undefined;
   const locations = createPrefixLocations();
   let isStopping = false;
   let stopped: Promise<void> | undefined;
@@ -215,6 +219,7 @@
     loads,
     locations,
     quarantine,
+    faults: faults?.exchange,
     limits: {
       listNews: (maximumHops, now) =>
         statements.listLimitNews(maximumHops, now),
@@ -249,6 +254,7 @@
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
+    countFaultyServers: () => faults?.countFaulty() ?? 0,
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
@@ -275,6 +281,7 @@
     coldOverage: settings.cold.overage,
     coldSlack: settings.cold.slack,
     statements,
+    faults,
   });
 
   const repeatBudgets = createRepeatBudgets({
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -28,6 +28,8 @@
   countPeers: () => number;
   countQuarantined: () => number;
   countLimitedServers: () => number;
+  /** Absent if faults are not counted. */
+  countFaultyServers?: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -115,6 +117,11 @@
       'Servers that state a limit of their request rate.',
       sources.countLimitedServers,
     ],
+    [
+      'buckthornbeam_faulty_servers',
+      'Servers that fail much of the work of all instances.',
+      sources.countFaultyServers ?? (() => 0),
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -9,8 +9,11 @@
   RelayedRecord,
 } from '@buckthornbeam/membership';
 import {z} from 'zod';
+import {FAULT_VALUES} from '../state/fault_tracker.js';
 import type {LoadReport, LoadRow} from '../state/server_loads.js';
 import {decodeLimitNews, encodeLimitNews} from './limit_news.js';
+import {decodeSums, encodeSums} from './fleet_sums.js';
+import type {SumRow} from './fleet_sums.js';
 import type {LimitNews} from './limit_news.js';
 
 /** What the receiver does with a message. */
@@ -58,6 +61,8 @@
   quarantineNews: readonly number[];
   /** What servers stated about their request rate. */
   limitNews: readonly LimitNews[];
+  /** Recent faults and answers by server. */
+  faultSums: readonly SumRow[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -144,11 +149,13 @@
       knownHashes: decodeIntegers(row[13]),
       quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
+      faultSums: decodeSums(row[18] ?? new Uint8Array(), FAULT_VALUES),
     }),
   );
 
 const envelopeSchema = z.tuple([bytesSchema, z.number(), bytesSchema]);
 
+const NO_BYTES = new Uint8Array();
 const INTEGER_BYTES = 4;
 /** Hash, requests, pending tokens, tokens in flight and prefill rate. */
 const LOAD_ROW_BYTES = 12;
@@ -272,6 +279,9 @@
   const columns = [
     encodeIntegers(message.quarantineNews),
     encodeLimitNews(message.limitNews),
+    NO_BYTES,
+    NO_BYTES,
+    encodeSums(message.faultSums),
   ];
   const last = columns.findLastIndex(column => column.length > 0);
   return columns.slice(0, last + 1);
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -19,6 +19,7 @@
 import {GossipKind} from './gossip_message.js';
 import type {GossipEnvelope, GossipMessage} from './gossip_message.js';
 import {createGroupView} from './group_view.js';
+import type {FleetSumExchange} from './fleet_sums.js';
 import type {LimitNews} from './limit_news.js';
 import {buildDatagrams, createMessageBuilder} from './message_builder.js';
 import type {GossipDatagram, GossipState} from './message_builder.js';
@@ -40,6 +41,8 @@
   locations: PrefixLocations;
   quarantine: Pick<PromptQuarantine, 'acceptNews' | 'takeNews' | 'list'>;
   limits?: LimitExchange;
+  /** Faults of servers; not exchanged if absent. */
+  faults?: FleetSumExchange | undefined;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -120,7 +123,7 @@
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
-  const {limits = NO_LIMITS} = options;
+  const {limits = NO_LIMITS, faults} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -182,6 +185,7 @@
       liveness: isListDue ? listLiveness(view.listPeers(now), now) : [],
       ...addEntries(relays.takeForGroups(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
+      faultSums: faults?.buildGroupSum(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -210,6 +214,7 @@
       silentHashes: table.listSilent(now),
       ...addEntries(relays.takeForMembers(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
+      faultSums: faults?.buildTotals(now) ?? [],
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -238,6 +243,7 @@
       cacheLocations: locations.takeUpdates(),
       quarantineNews: encodeNews(ownNews.take(), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
+      faultSums: faults?.buildReport(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -324,6 +330,7 @@
       role.recordReport(now);
       if (message.groupKey === view.getOwnKey()) {
         loads.receiveReport(sender.instanceId, message.loadReport, now);
+        faults?.receiveReport(sender.instanceId, message.faultSums, now);
       }
       const learned = acceptContent(message, now);
       if (role.isPublishing(now)) {
@@ -334,6 +341,7 @@
     [GossipKind.GROUP_SUM]: (message, changedIds, now) => {
       if (view.hasOther(message.groupKey)) {
         loads.receiveGroupSum(message.groupKey, message.loadReport, now);
+        faults?.receiveGroupSum(message.groupKey, message.faultSums, now);
       }
       return acceptPublished(message, changedIds, now);
     },
@@ -342,6 +350,7 @@
       publishedConfirmationAt = now - message.confirmedAgeMs;
       if (!role.isPublishing(now)) {
         loads.receiveTotals(message.loadReport, now);
+        faults?.receiveTotals(message.faultSums, now);
       }
       if (
         message.memberDigest === table.computeDigest(messages.getSelfHash())
@@ -404,6 +413,7 @@
     isPublishing: () => role.wasPublishing(),
     clearReceived: now => {
       loads.clearReceived();
+      faults?.clearReceived();
       view.reset(now);
     },
   };
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -12,6 +12,7 @@
 import {decodeGossip, encodeGossip} from './gossip_message.js';
 import type {GossipEnvelope, GossipMessage} from './gossip_message.js';
 import {GOSSIP_ROUND_MS, createGossipNode} from './gossip_node.js';
+import type {FleetSumExchange} from './fleet_sums.js';
 import type {LimitExchange} from './gossip_node.js';
 import type {GossipDatagram} from './message_builder.js';
 
@@ -24,6 +25,8 @@
   locations: PrefixLocations;
   quarantine: PromptQuarantine;
   limits?: LimitExchange;
+  /** Faults of servers; not exchanged if absent. */
+  faults?: FleetSumExchange | undefined;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
@@ -92,6 +95,7 @@
     locations: options.locations,
     quarantine: options.quarantine,
     ...(options.limits ? {limits: options.limits} : {}),
+    faults: options.faults,
     random,
   });
   const {table} = node;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -21,6 +21,7 @@
 import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {AttemptResult, StreamSink} from './attempt.js';
 import {INTERRUPTED_REASON, watchAttempt} from './attempt_watch.js';
+import {resolveFailureOutcome} from './attempt_failure.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {createPromptTracker} from './prompt_tracker.js';
 import type {AttemptTracker} from './prompt_tracker.js';
@@ -346,15 +347,9 @@
     }
     const hasAnswered =
       result.end === AttemptEnd.COMPLETE && !isServerFailure(result);
-    // If another server has the address, the selected one no longer exists.
-    const isServerGone =
-      result.isUnreachable || result.reason === 'other_server';
-    const failure = isServerGone
-      ? ServerOutcome.UNREACHABLE
-      : ServerOutcome.FAILED;
     selection.recordOutcome(
       serverId,
-      hasAnswered ? ServerOutcome.ANSWERED : failure,
+      hasAnswered ? ServerOutcome.ANSWERED : resolveFailureOutcome(result),
       clock.now(),
     );
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -101,6 +101,12 @@
       maximumHeldBytes: z.number().int().positive().default(48_000_000),
     })
     .prefault({}),
+  failures: z
+    .object({
+      /** Whether instances share the faults of servers with each other. */
+      shared: z.boolean().default(false),
+    })
+    .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
 });
 
--- a/packages/gateway/src/state/server_availability.ts
+++ b/packages/gateway/src/state/server_availability.ts
@@ -1,7 +1,12 @@
 /** Decides whether a backend server may be sent a request now. */
-import {createColdLimit, createServerOutcomes} from '@buckthornbeam/decisions';
-import type {ColdTolerance, ServerOutcome} from '@buckthornbeam/decisions';
+import {
+  ServerOutcome,
+  createColdLimit,
+  createServerOutcomes,
+} from '@buckthornbeam/decisions';
+import type {ColdTolerance} from '@buckthornbeam/decisions';
 import type {BackendServer, Service} from '../model.js';
+import type {FaultTracker} from './fault_tracker.js';
 import type {ServerActivity} from './server_activity.js';
 import type {TrackedServer} from './server_entries.js';
 import type {ServerLoads} from './server_loads.js';
@@ -18,6 +23,8 @@
   coldSlack: number;
   /** What servers state in their answers. */
   statements: StatementTracker;
+  /** Faults seen by all instances; only the own ones count if absent. */
+  faults?: FaultTracker | undefined;
 }
 
 export interface ServerAvailability {
@@ -136,11 +143,19 @@
       claimCold(tracked, service, instances, now) &&
       statements.take(tracked.server, {instances}, now),
     computeFailureRate: (serverId, now) =>
-      outcomes.computeFailureRate(serverId, now),
-    recordOutcome: (serverId, outcome, now) =>
-      outcomes.record(serverId, outcome, now),
+      Math.max(
+        outcomes.computeFailureRate(serverId, now),
+        options.faults?.computeFaultRate(serverId, now) ?? 0,
+      ),
+    recordOutcome: (serverId, outcome, now) => {
+      outcomes.record(serverId, outcome, now);
+      if (outcome !== ServerOutcome.UNREACHABLE) {
+        options.faults?.record(serverId, outcome === ServerOutcome.FAULTY, now);
+      }
+    },
     retain: serverIds => {
       outcomes.retain(serverIds);
+      options.faults?.retain(serverIds);
       coldLimit.retain(serverIds);
       activity.retain(serverIds);
     },
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -5,6 +5,7 @@
   estimateUnseenTokens,
   listPrefixes,
   placeGeneration,
+  selectSoundServers,
 } from '@buckthornbeam/decisions';
 import type {
   EnginePlacement,
@@ -27,7 +28,9 @@
   computeMaximumDurationRatio,
 } from './engine_request.js';
 import type {PlacementLimits} from './engine_request.js';
+import {isRepeatable} from '../relay/repeatable.js';
 import type {ClusterState} from './cluster_state.js';
+import type {FaultTracker} from './fault_tracker.js';
 import type {ServerActivity} from './server_activity.js';
 import {createServerAvailability} from './server_availability.js';
 import type {TrackedServer} from './server_entries.js';
@@ -66,6 +69,8 @@
   coldSlack: number;
   /** What servers state in their answers. */
   statements?: StatementTracker;
+  /** Faults seen by all instances; only the own ones count if absent. */
+  faults?: FaultTracker | undefined;
   /** Returns a number in [0, 1). */
   random?: () => number;
 }
@@ -167,15 +172,23 @@
     excluded: ReadonlySet<string>,
     instances: readonly string[],
     now: number,
-  ): TrackedServer[] {
-    return clusterState.listServers(service.name).filter(tracked => {
-      const {server} = tracked;
-      return (
-        !excluded.has(server.id) &&
-        isInRegion(route, server) &&
-        availability.canAccept(tracked, service, instances, now)
+  ): readonly TrackedServer[] {
+    const acceptable = clusterState
+      .listServers(service.name)
+      .filter(
+        tracked =>
+          !excluded.has(tracked.server.id) &&
+          isInRegion(route, tracked.server) &&
+          availability.canAccept(tracked, service, instances, now),
       );
-    });
+    const {faults} = options;
+    return faults
+      ? selectSoundServers(
+          acceptable,
+          ({server}) => faults.isFaulty(server.id, now),
+          isRepeatable(route),
+        )
+      : acceptable;
   }
 
   function choosePlain(
