feat(decisions): speeds of model servers, learned from the pace of answers

The pace between two events does not contain the time that a request waited. Sums over the fleet tell expected from observed time; the speed of a server is relative to the mean of its service. Not yet used by the placement.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -119,6 +119,8 @@
   selectSoundServers,
 } from './server_faults.js';
 export type {FaultCounts, ServerFaults} from './server_faults.js';
+export {computeServerSpeeds, createObservedPaces} from './server_speeds.js';
+export type {AnswerPace, ObservedPaces} from './server_speeds.js';
 export {ServerOutcome, createServerOutcomes} from './server_outcomes.js';
 export type {ServerOutcomes} from './server_outcomes.js';
 export {
