refactor(decisions): one file for each concept of server statements

Lives, statements, changes, the interface of handlers and each handler have a file of their own. Declarations are moved without a change.

Tests: server_statements, stated_limit and limit_news pass before and after.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -115,22 +115,21 @@
 export type {FleetRepeatBudget, RepeatBudget} from './repeat_budget.js';
 export {ServerOutcome, createServerOutcomes} from './server_outcomes.js';
 export type {ServerOutcomes} from './server_outcomes.js';
-export {
-  StatementChangeType,
-  StatementEnd,
-  StatementKind,
-  createServerStatements,
+export type {ServerLife} from './server_life.js';
+export {createServerStatements} from './server_statements.js';
+export type {
+  ServerStatements,
+  ServerStatementsOptions,
 } from './server_statements.js';
+export {StatementKind} from './statement.js';
 export type {
   SendContext,
-  StatementSharers,
-  ServerLife,
   ServerStatement,
-  ServerStatements,
-  ServerStatementsOptions,
   StatedAnswer,
-  StatementChange,
-} from './server_statements.js';
+  StatementSharers,
+} from './statement.js';
+export {StatementChangeType, StatementEnd} from './statement_change.js';
+export type {StatementChange} from './statement_change.js';
 export {LimitStatementType} from './stated_limit.js';
 export type {LimitNews, LimitStatement} from './stated_limit.js';
 export {chooseShortPool} from './short_pool.js';
--- a/packages/decisions/src/server_statements.ts
+++ b/packages/decisions/src/server_statements.ts
@@ -3,198 +3,19 @@
  * bound to one life of its server and applies to each send to it, until the life ends
  * or, for kinds that can be taken back, a later answer says otherwise.
  */
-import {
-  LimitStatementType,
-  acceptLimitNews,
-  computeLimitWait,
-  describeLimitNews,
-  isLimitForgotten,
-  isLimitOver,
-  recordLimitedSend,
-  updateLimit,
-  updateLimitShare,
-} from './stated_limit.js';
-import type {LimitNews, LimitState, LimitStatement} from './stated_limit.js';
-
-/** What one answer states about the server that wrote it. */
-export interface ServerStatement {
-  isLeaving: boolean;
-  /** Absent if the answer states no limit. */
-  limit?: LimitStatement;
-}
-
-/**
- * One life of a server: its process from start to end. An id, or an address, may
- * be used again by a later process.
- */
-export interface ServerLife {
-  id: string;
-  /** `host:port` */
-  address: string;
-  /** Start time as listed, in milliseconds since 1970. */
-  startedAt: number | undefined;
-}
-
-/**
- * The answer with a statement. The server wrote its head between the two times;
- * answers to overlapping requests may arrive in any order.
- */
-export interface StatedAnswer {
-  requestId: string;
-  /** Time at which the request was sent, in milliseconds. */
-  sentAt: number;
-  /** Time at which the head of the answer was read, in milliseconds. */
-  headAt: number;
-}
-
-/** What is known of the sender when a request is about to be sent. */
-export interface SendContext {
-  /** Ids of the instances that may send requests, including this one. */
-  instances: readonly string[];
-}
-
-/** The instances that divide what a server states for all of them. */
-export interface StatementSharers extends SendContext {
-  selfId: string;
-}
-
-export const StatementKind = {
-  LEAVING: 'leaving',
-  LIMIT: 'limit',
-} as const;
-export type StatementKind = (typeof StatementKind)[keyof typeof StatementKind];
-
-export const StatementChangeType = {
-  BEGUN: 'begun',
-  CHANGED: 'changed',
-  /** The share of this instance is another one; the value is that share. */
-  SHARED: 'shared',
-  ENDED: 'ended',
-} as const;
-export type StatementChangeType =
-  (typeof StatementChangeType)[keyof typeof StatementChangeType];
-
-/** Why a statement ended. */
-export const StatementEnd = {
-  /** The list has a later life under the same id. */
-  NEW_LIFE: 'new_life',
-  /** The server was not listed for the retention time. */
-  FORGOTTEN: 'forgotten',
-  /** A later answer no longer states it. */
-  RETRACTED: 'retracted',
-} as const;
-export type StatementEnd = (typeof StatementEnd)[keyof typeof StatementEnd];
-
-/** A change of what a server states, for logs and metrics. */
-export interface StatementChange {
-  kind: StatementKind;
-  type: StatementChangeType;
-  life: ServerLife;
-  /** Stated value, or the share of it; the last one at the end. */
-  value: number;
-  /** Time since the statement began, in milliseconds. */
-  heldMs: number;
-  /** Request whose answer made the change; absent if the list made it. */
-  requestId?: string;
-  /** Present at the end. */
-  reason?: StatementEnd;
-}
-
-/** Decides by one kind of statement; `State` is kept for each life. */
-interface StatementHandler<State> {
-  /**
-   * Returns the state after an answer; undefined if nothing is stated.
-   * @param state Undefined if nothing was stated before.
-   */
-  update(
-    state: State | undefined,
-    statement: ServerStatement,
-    answer: StatedAnswer,
-  ): State | undefined;
-  /** Returns the state at a later time; undefined if it no longer matters. */
-  advance(
-    state: State,
-    life: ServerLife,
-    sharers: StatementSharers,
-    now: number,
-  ): State | undefined;
-  /** The stated value, as logged; undefined if it is no longer stated. */
-  getValue(state: State): number | undefined;
-  /** The share of this instance, as logged; undefined if nothing is divided. */
-  getShare(state: State): number | undefined;
-  /**
-   * Computes the time until a request may be sent after those ahead of it, in
-   * milliseconds.
-   */
-  computeWait(
-    state: State,
-    context: SendContext,
-    now: number,
-    requestsAhead: number,
-  ): number;
-  /** Returns the state after a request was sent. */
-  recordSend(state: State, context: SendContext, now: number): State;
-  /** Whether no request may be sent for the rest of the life. */
-  isFinal(state: State): boolean;
-  /** Whether requests are bound by the statement. */
-  isBinding(state: State): boolean;
-  /** Describes the state to other instances; undefined if it is not passed on. */
-  describeNews(
-    state: State,
-    maximumHops: number,
-    now: number,
-  ): LimitNews | undefined;
-  /** Returns the state after another instance passed news on. */
-  acceptNews(state: State | undefined, news: LimitNews): State | undefined;
-}
-
-interface LeavingState {
-  isLeaving: true;
-}
-
-/** A server that leaves ends and never returns in the same life. */
-const leavingHandler: StatementHandler<LeavingState> = {
-  update: (state, statement) =>
-    state ?? (statement.isLeaving ? {isLeaving: true} : undefined),
-  advance: state => state,
-  getValue: () => 1,
-  getShare: () => undefined,
-  computeWait: () => Infinity,
-  recordSend: state => state,
-  isFinal: () => true,
-  isBinding: () => true,
-  describeNews: () => undefined,
-  acceptNews: state => state,
-};
-
-const NO_LIMIT: LimitStatement = {type: LimitStatementType.NONE};
-
-/** Requests of all instances are limited to a rate, of which each has a share. */
-const limitHandler: StatementHandler<LimitState> = {
-  update: (state, {limit = NO_LIMIT}, answer) =>
-    updateLimit(state, limit, answer),
-  advance: (state, {id}, sharers, now) =>
-    isLimitForgotten(state, now)
-      ? undefined
-      : updateLimitShare(state, {key: id, ...sharers}, now),
-  getValue: ({requestsPerSecond, endedAt}) =>
-    endedAt === undefined ? requestsPerSecond : undefined,
-  getShare: ({share}) => share.tokensPerSecond,
-  computeWait: (state, _context, now, requestsAhead) =>
-    computeLimitWait(state, now, requestsAhead),
-  recordSend: (state, _context, now) => recordLimitedSend(state, now),
-  isFinal: () => false,
-  isBinding: state => !isLimitOver(state),
-  describeNews: describeLimitNews,
-  acceptNews: acceptLimitNews,
-};
-
-const handlers: Readonly<Record<StatementKind, StatementHandler<unknown>>> = {
-  [StatementKind.LEAVING]: leavingHandler,
-  [StatementKind.LIMIT]: limitHandler,
-};
-
-const kinds = Object.values(StatementKind);
+import {isReplacedBy, isSameLife} from './server_life.js';
+import type {ServerLife} from './server_life.js';
+import type {LimitNews} from './stated_limit.js';
+import type {
+  SendContext,
+  ServerStatement,
+  StatedAnswer,
+  StatementKind,
+  StatementSharers,
+} from './statement.js';
+import {StatementChangeType, StatementEnd} from './statement_change.js';
+import type {StatementChange} from './statement_change.js';
+import {handlers, kinds} from './statement_handlers.js';
 
 /** Options of {@link createServerStatements}. */
 export interface ServerStatementsOptions {
@@ -275,24 +96,6 @@
 const DEFAULT_RETENTION_MS = 600_000;
 const DEFAULT_MAXIMUM_UNLISTED = 1000;
 
-/** An entry may have lost its start, or get it later; the address decides then. */
-function isSameLife(a: ServerLife, b: ServerLife): boolean {
-  const areStartsKnown = a.startedAt !== undefined && b.startedAt !== undefined;
-  return (
-    a.id === b.id &&
-    (areStartsKnown ? a.startedAt === b.startedAt : a.address === b.address)
-  );
-}
-
-/** Whether the listed life started later under the same id. */
-function isReplacedBy(life: ServerLife, listed: ServerLife): boolean {
-  return (
-    life.startedAt !== undefined &&
-    listed.startedAt !== undefined &&
-    listed.startedAt > life.startedAt
-  );
-}
-
 export function createServerStatements(
   options: ServerStatementsOptions = {},
 ): ServerStatements {
