feat(gateway): a 503 with Retry-After pauses its server for this instance

Cause: a server that answered 503 with Retry-After went on to get requests of the same instance.

Change: a statement of the kind 'pause', bound to the life of the server. Callers that are refused since all servers pause get the time until the first may be used, also if their own request met the pause. Passing it on by gossip was ruled out: the server asks the instance that it answered.

--- a/packages/cli/__tests__/command_line.spec.ts
+++ b/packages/cli/__tests__/command_line.spec.ts
@@ -266,6 +266,7 @@
       'time=2026-12-04T05:00:01.000Z level=warn event=store_lost instance=b ageMs=200',
       'time=2026-12-04T05:00:02.000Z level=info event=server_removed instance=b server=i-1',
       'time=2026-12-04T05:00:02.500Z level=info event=server_statement instance=a server=i-0 statement=leaving change=begun value=1 request=r1 heldMs=0',
+      'time=2026-12-04T05:00:02.600Z level=info event=server_statement instance=a server=i-1 statement=pause change=begun value=1.5 request=r1 heldMs=0',
       'time=2026-12-04T05:00:03.000Z level=info event=request instance=a id=r1 route=chat customer=c1 priority=0 status=502 code=answer_garbled reason="no answer: truncated" servers="i-0,i-1" attempts="refused_by_server,truncated" totalMs=1500 deadlineMs=8000 promptTokens=1400 home=false unreadTokens=1200 copiedTokens=150 expectedReadMs=24 expectedEndMs=800 version=7 knowledgeAgeMs=120',
       'time=2026-12-04T05:00:30.000Z level=info event=server_removed instance=b server=i-0',
       'no pairs at all',
@@ -285,9 +286,15 @@
       assert.match(rows[5]!, /because: no answer: truncated\./);
       assert.equal(
         rows.slice(7).map(row => row.trim().split(' ')[2]),
-        ['store_lost', 'server_removed', 'server_statement'],
+        [
+          'store_lost',
+          'server_removed',
+          'server_statement',
+          'server_statement',
+        ],
       );
       assert.match(rows[7]!, /code=platform_unavailable/);
+      assert.match(rows[10]!, /statement=pause change=begun value=1.5/);
     });
 
     it('exits with code 1 if the id is not in the log', async () => {
--- a/packages/decisions/src/server_statements.ts
+++ b/packages/decisions/src/server_statements.ts
@@ -74,7 +74,7 @@
   retain(listed: readonly ServerLife[], now: number): StatementChange[];
   /**
    * Updates what depends on the time and on the instances; called regularly.
-   * Returns the changes of shares.
+   * Returns the changes of shares, and the statements that ended by the time.
    */
   advance(sharers: StatementSharers, now: number): StatementChange[];
   /** Counts the lives with a statement of the kind. */
@@ -221,19 +221,19 @@
     const {life} = record;
     const {state, begunAt} = record.statements.get(kind)!;
     const next = handler.advance(state, life, sharers, now);
-    if (next === undefined) {
-      setState(record, kind, undefined);
-      return [];
+    const isHeld = next !== undefined;
+    setState(record, kind, isHeld ? {state: next, begunAt} : undefined);
+    const change = {kind, life, heldMs: now - begunAt};
+    const value = handler.getValue(state);
+    const isValued = isHeld && handler.getValue(next) !== undefined;
+    if (value !== undefined && !isValued) {
+      const reason = StatementEnd.EXPIRED;
+      return [{...change, type: StatementChangeType.ENDED, value, reason}];
     }
-    setState(record, kind, {state: next, begunAt});
-    const share = handler.getShare(next);
-    const isChanged =
-      handler.getValue(next) !== undefined &&
-      share !== undefined &&
-      share !== handler.getShare(state);
-    const type = StatementChangeType.SHARED;
+    const share = isValued ? handler.getShare(next) : undefined;
+    const isChanged = share !== undefined && share !== handler.getShare(state);
     return isChanged
-      ? [{kind, type, life, value: share, heldMs: now - begunAt}]
+      ? [{...change, type: StatementChangeType.SHARED, value: share}]
       : [];
   }
 
--- a/packages/decisions/src/statement.ts
+++ b/packages/decisions/src/statement.ts
@@ -6,6 +6,11 @@
   isLeaving: boolean;
   /** Absent if the answer states no limit. */
   limit?: LimitStatement;
+  /**
+   * Time for which the server asks to be sent nothing, in milliseconds. Absent if the
+   * answer states none.
+   */
+  pauseMs?: number;
 }
 
 /**
@@ -34,5 +39,6 @@
 export const StatementKind = {
   LEAVING: 'leaving',
   LIMIT: 'limit',
+  PAUSE: 'pause',
 } as const;
 export type StatementKind = (typeof StatementKind)[keyof typeof StatementKind];
--- a/packages/decisions/src/statement_change.ts
+++ b/packages/decisions/src/statement_change.ts
@@ -20,6 +20,8 @@
   FORGOTTEN: 'forgotten',
   /** A later answer no longer states it. */
   RETRACTED: 'retracted',
+  /** The stated time is over. */
+  EXPIRED: 'expired',
 } as const;
 export type StatementEnd = (typeof StatementEnd)[keyof typeof StatementEnd];
 
@@ -32,7 +34,7 @@
   value: number;
   /** Time since the statement began, in milliseconds. */
   heldMs: number;
-  /** Request whose answer made the change; absent if the list made it. */
+  /** Request whose answer made the change; absent if the list or the time made it. */
   requestId?: string;
   /** Present at the end. */
   reason?: StatementEnd;
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -101,6 +101,7 @@
       countPeers: () => 5,
       countQuarantined: () => 2,
       countLimitedServers: () => 0,
+      countPausedServers: () => 0,
       getLongestPauseMs: () => 1500,
     });
     metrics.countRequest('route', 200, 'ok');
--- a/packages/gateway/__tests__/support/caller_gateway.ts
+++ b/packages/gateway/__tests__/support/caller_gateway.ts
@@ -134,6 +134,7 @@
       countPeers: () => 0,
       countQuarantined: () => 0,
       countLimitedServers: () => 0,
+      countPausedServers: () => 0,
       getLongestPauseMs: () => 0,
     }),
     ...changes,
--- a/packages/gateway/__tests__/support/fixtures.ts
+++ b/packages/gateway/__tests__/support/fixtures.ts
@@ -131,6 +131,9 @@
     isTransformed: headers['content-encoding'] !== undefined,
     statement: {
       isLeaving: headers['leaving'] !== undefined,
+      ...(status === 503 && headers['retry-after'] !== undefined
+        ? {pauseMs: Number(headers['retry-after']) * 1000}
+        : {}),
       ...(headers['limit'] === undefined
         ? {}
         : {
--- a/packages/gateway/__tests__/support/leaving_fleet.ts
+++ b/packages/gateway/__tests__/support/leaving_fleet.ts
@@ -38,6 +38,8 @@
   requestId: string;
   /** Time at which the caller sent it, in milliseconds. */
   sentAt: number;
+  /** Time at which the server received it, in milliseconds. */
+  arrivedAt: number;
 }
 
 export interface LeavingServer {
@@ -65,7 +67,7 @@
   blocks?: readonly string[];
 }
 
-const clock = createSystemClock();
+export const clock = createSystemClock();
 
 /** Answers with success after a short time. */
 export const answerSoon: Answerer = (_, response, headers) => {
@@ -82,6 +84,7 @@
     self!.arrivals.push({
       requestId: id,
       sentAt: Number(request.headers['sent']),
+      arrivedAt: clock.now(),
     });
     request.resume();
     self!.answer(request, response, {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,6 +249,7 @@
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
+    countPausedServers: () => statements.count(StatementKind.PAUSE),
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -9,7 +9,7 @@
   observeDuration(route: string, ms: number): void;
   /** Counts an attempt at a backend server by how it ended. */
   countAttempt(reason: string): void;
-  /** Counts a request sent elsewhere, since the rate of a server is used up. */
+  /** Counts a request sent elsewhere for a limit or a pause that a server stated. */
   countDiverted(): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
@@ -28,6 +28,7 @@
   countPeers: () => number;
   countQuarantined: () => number;
   countLimitedServers: () => number;
+  countPausedServers: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -68,7 +69,7 @@
   });
   const diverted = new Counter({
     name: 'buckthornbeam_diverted_requests_total',
-    help: 'Requests sent elsewhere since the limited rate of a server was used up.',
+    help: 'Requests sent elsewhere for a limit or a pause that a server stated.',
     registers,
   });
   const connections = new Counter({
@@ -115,6 +116,11 @@
       'Servers that state a limit of their request rate.',
       sources.countLimitedServers,
     ],
+    [
+      'buckthornbeam_paused_servers',
+      'Servers that asked this instance to be sent nothing for a time.',
+      sources.countPausedServers,
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -130,6 +130,28 @@
   return head.metadata.requestId === requestId || isOwnRefusal;
 }
 
+/**
+ * Selects what the answer states about the server; undefined if it may be another's. A
+ * pause is also read from an answer without an id: servers may refuse before they have
+ * read the id, and whatever wrote it at this address asks for less load.
+ */
+function selectStatement(
+  head: AnswerHead,
+  context: HeadContext,
+): ServerStatement | undefined {
+  const {isOtherServer, requestId, statement} = head.metadata;
+  if (isOtherServer) {
+    return undefined;
+  }
+  if (isOwnAnswer(head, context)) {
+    return statement;
+  }
+  const {pauseMs} = statement;
+  return requestId === undefined && pauseMs !== undefined
+    ? {isLeaving: false, pauseMs}
+    : undefined;
+}
+
 /** Returns the reason why an answer cannot be used; undefined if it can. */
 function explainInvalidHead(
   head: AnswerHead,
@@ -207,8 +229,8 @@
       metadata: dialect.readAnswer(status, incoming.headers),
     };
     const context: HeadContext = {...options, isReused};
-    const {isOtherServer, statement} = received.metadata;
-    if (isOwnAnswer(received, context) && !isOtherServer) {
+    const statement = selectStatement(received, context);
+    if (statement) {
       options.onStatement?.(statement);
     }
     const problem = explainInvalidHead(received, context);
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -74,7 +74,7 @@
   connections: string[];
   /** Placement of the last attempt, if it was a generation. */
   placement: EnginePlacement | undefined;
-  /** Whether servers were left out since their rate of requests is used up. */
+  /** Whether servers were left out for a limit or a pause that they stated. */
   isDiverted: boolean;
   /** Time until the first event or the complete answer, in milliseconds. */
   firstByteMs: number | undefined;
@@ -123,7 +123,7 @@
   let lastFailure: AttemptResult | undefined;
   /** Chosen for the next attempt before a running one is given up. */
   let successor: SelectedServer | undefined;
-  /** Time until limited rates allow the request, if only they keep it back, in ms. */
+  /** Time until limits and pauses allow the request, if only they keep it back, in ms. */
   let limitWaitMs: number | undefined;
   const report: RelayReport = {
     servers: [],
@@ -136,6 +136,16 @@
     error: undefined,
   };
 
+  /**
+   * Computes the time until a server that already refused the request may be sent one
+   * again, in milliseconds; undefined if limits and pauses do not tell.
+   */
+  function computeAvailability(): number | undefined {
+    const now = clock.now();
+    const limits = buildLimits(now);
+    return selection.computeLimitWait(route, metadata, new Set(), limits, now);
+  }
+
   function markFirstByte(): void {
     report.firstByteMs ??= clock.now() - receivedAt;
   }
@@ -166,7 +176,7 @@
         retryAfterMs: computeRetryAfter({
           remainingMs,
           random: context.random,
-          availableInMs: limitWaitMs,
+          availableInMs: limitWaitMs ?? computeAvailability(),
         }),
       },
     );
--- a/packages/gateway/src/relay/server_wait.ts
+++ b/packages/gateway/src/relay/server_wait.ts
@@ -31,7 +31,7 @@
   /** Undefined if no server was available in time. */
   selected: SelectedServer | undefined;
   /**
-   * Time until the limited rates of the servers allow the request, in milliseconds, if
+   * Time until limits and pauses of the servers allow the request, in milliseconds, if
    * that is all that keeps it back.
    */
   limitWaitMs: number | undefined;
@@ -45,7 +45,7 @@
 
 /**
  * Polls for an available server until the wait limit, the deadline or the disconnection
- * of the caller. The wait ends at once if limited rates allow no request before.
+ * of the caller. The wait ends at once if limits and pauses allow no request before.
  */
 export async function waitForServer(
   options: ServerWaitOptions,
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -1,6 +1,5 @@
 /** Selects the backend server for the next attempt of a request. */
 import {
-  StatementKind,
   chooseShortPool,
   estimateUnseenTokens,
   listPrefixes,
@@ -82,7 +81,7 @@
   placement?: EnginePlacement;
   /** Server to copy cached prefix blocks from before the prefill, `host:port`. */
   copySource?: string;
-  /** Whether servers were left out since their rate of requests is used up. */
+  /** Whether servers were left out for a limit or a pause that they stated. */
   isDiverted: boolean;
 }
 
@@ -108,7 +107,7 @@
   addWaiting(route: Route, urgencyPosition: number): WaitingPlace;
   /**
    * Computes the time until the request may be sent after those ahead of it, in
-   * milliseconds; undefined unless only limited rates of servers keep it back.
+   * milliseconds; undefined unless only limits and pauses of servers keep it back.
    */
   computeLimitWait(
     route: Route,
@@ -405,7 +404,7 @@
         urgencyPosition,
       ),
     computeLimitWait: (route, request, excluded, limits, now) => {
-      if (statements.count(StatementKind.LIMIT) === 0) {
+      if (!statements.hasLimited()) {
         return undefined;
       }
       const instances = options.listInstances(now);
--- a/packages/gateway/src/state/statement_tracker.ts
+++ b/packages/gateway/src/state/statement_tracker.ts
@@ -31,8 +31,10 @@
     statement: ServerStatement,
     answer: StatedAnswer,
   ): boolean;
-  /** Whether the rate of requests to the server is limited. */
+  /** Whether a limit or a pause keeps requests back for some time. */
   isLimited(server: BackendServer): boolean;
+  /** Whether any server states a limit or a pause. */
+  hasLimited(): boolean;
   /** Lists the limits that other instances should hear. */
   listLimitNews(maximumHops: number, now: number): LimitNews[];
   /**
@@ -52,6 +54,9 @@
   advance(sharers: StatementSharers, now: number): void;
 }
 
+/** Kinds that keep requests back for some time and not for the rest of a life. */
+const TEMPORARY_KINDS = [StatementKind.LIMIT, StatementKind.PAUSE];
+
 function hashLife({id, address, startedAt}: ServerLife): number {
   return hashToUint32(`${id}@${address}@${startedAt ?? 0}`);
 }
@@ -84,7 +89,9 @@
     computeWait: statements.computeWait,
     take: statements.take,
     isExcluded: statements.isExcluded,
-    isLimited: server => statements.isBound(server, StatementKind.LIMIT),
+    isLimited: server =>
+      TEMPORARY_KINDS.some(kind => statements.isBound(server, kind)),
+    hasLimited: () => TEMPORARY_KINDS.some(kind => statements.count(kind) > 0),
     record: (server, statement, answer) => {
       const changes = statements.record(server, statement, answer);
       reportChanges(changes);
