fix(gateway): an answer with a status that HTTP does not have is a failed attempt

Cause: node:http reads any three digits of a status. 000 and 001 made the writing of the answer throw, so that the caller got a 500 of the instance. With 099 the status was kept as sent before it was written, and the connection was closed. 600, 999 and 101 were passed on. Statuses of other lengths and broken header lines were refused by the parser already (502), as the tests show.

Change: a status outside of 200 to 599 breaks the attempt (invalid_status): 502, or another server's answer as retries allow. An answer counts as begun only once its head was written.

--- a/packages/cli/src/request_timeline.ts
+++ b/packages/cli/src/request_timeline.ts
@@ -51,6 +51,7 @@
   empty_stream: 'the stream ended before its first event',
   etimedout: 'connecting to the server timed out',
   foreign_answer: 'the answer belongs to another request',
+  invalid_status: 'the status of the answer is not one of HTTP',
   other_server: 'another server now uses the address',
   partial_event: 'the stream ended within an event',
   prompt_quarantined: 'its prompt was quarantined while it ran',
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -97,11 +97,20 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_NON_SUCCESS_STATUS = 300;
+const LAST_STATUS = 599;
 
 export function isSuccess(status: number): boolean {
   return status >= FIRST_SUCCESS_STATUS && status < FIRST_NON_SUCCESS_STATUS;
 }
 
+/**
+ * Whether HTTP has final answers with the status. node:http reads any three digits, and
+ * can't write a status below 100.
+ */
+function isFinalStatus(status: number): boolean {
+  return status >= FIRST_SUCCESS_STATUS && status <= LAST_STATUS;
+}
+
 /** Whether the server states that it did not run the request. */
 function isRefusal({metadata}: AnswerHead): boolean {
   return metadata.isNotRun || metadata.isOtherServer;
@@ -158,6 +167,9 @@
   context: HeadContext,
 ): string | undefined {
   const {metadata, status} = head;
+  if (!isFinalStatus(status)) {
+    return 'invalid_status';
+  }
   if (!isOwnAnswer(head, context)) {
     return 'foreign_answer';
   }
--- a/packages/gateway/src/relay/caller_answer.ts
+++ b/packages/gateway/src/relay/caller_answer.ts
@@ -97,12 +97,13 @@
   let status = 0;
 
   function writeHead(nextStatus: number, headers: string[]): void {
-    status = nextStatus;
     response.sendDate = false;
     if (isLast()) {
       response.shouldKeepAlive = false;
     }
+    // Throws for a head that is not valid; the answer has then not begun.
     response.writeHead(nextStatus, headers);
+    status = nextStatus;
   }
 
   return {
