fix(gateway): 1xx heads without an answer are a failed attempt

Cause: node:http reads heads of status 1xx without end. The attempt went on to its deadline, and the caller got 504 in place of 502 or of another server's answer.

Change: more than ten interim heads break the attempt (endless_interim_heads) and close its connection. A limit in time alone was ruled out: a server that works for long may send 102 now and then.

--- a/packages/cli/src/request_timeline.ts
+++ b/packages/cli/src/request_timeline.ts
@@ -49,6 +49,7 @@
   econnrefused: 'nothing listened at the address of the server',
   econnreset: 'the server reset the connection',
   empty_stream: 'the stream ended before its first event',
+  endless_interim_heads: 'the server sent only interim heads',
   etimedout: 'connecting to the server timed out',
   foreign_answer: 'the answer belongs to another request',
   invalid_status: 'the status of the answer is not one of HTTP',
--- a/packages/gateway/__tests__/invalid_head.spec.ts
+++ b/packages/gateway/__tests__/invalid_head.spec.ts
@@ -16,6 +16,7 @@
 const DEADLINE_MS = 1500;
 /** Above the deadline; a caller then has no answer. */
 const ANSWER_LIMIT_MS = 3000;
+const INFORMATIONAL_INTERVAL_MS = 10;
 
 const ROUTES: Readonly<Record<string, Partial<Route>>> = {
   'an unsafe request': {kind: RouteKind.UNSAFE},
@@ -24,6 +25,17 @@
   'a stream that can be resumed': {kind: RouteKind.STREAM, isResumable: true},
 };
 
+/** Writes the text again and again until the connection is closed. */
+function writeRepeatedly(socket: Socket, text: string): void {
+  const timer = setInterval(() => {
+    if (socket.destroyed) {
+      clearInterval(timer);
+    } else {
+      socket.write(text);
+    }
+  }, INFORMATIONAL_INTERVAL_MS);
+}
+
 function writeStatus(status: string): (socket: Socket) => void {
   return socket => socket.write(encodeAnswer(status, OWN_HEADERS, BODY));
 }
@@ -63,6 +75,10 @@
   'a space in a name': writeHeader('x y: a'),
   'a name with a letter beyond ASCII': writeHeader('x\u00e9: a'),
   'a line without a colon': writeHeader('nothing'),
+  '100 without end': socket =>
+    writeRepeatedly(socket, 'HTTP/1.1 100 Continue\r\n\r\n'),
+  '103 without end, many at once': socket =>
+    writeRepeatedly(socket, 'HTTP/1.1 103 Early\r\nid: r1\r\n\r\n'.repeat(500)),
 };
 
 /** Sends a request through a gateway whose only server answers with the head. */
@@ -128,3 +144,19 @@
     });
   }
 });
+
+describe('an answer with informational heads before it', () => {
+  // Guards against a sound server whose interim answers pass for a fault.
+  for (const count of [1, 8]) {
+    it(`is passed on after ${count}`, async () => {
+      const answer = await sendToOnly(
+        socket => {
+          socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(count));
+          writeStatus('200 OK')(socket);
+        },
+        {kind: RouteKind.UNSAFE},
+      );
+      assert.match(answer, /^HTTP\/1.1 200 /);
+    });
+  }
+});
--- a/packages/gateway/src/relay/exchange.ts
+++ b/packages/gateway/src/relay/exchange.ts
@@ -52,6 +52,17 @@
   readonly code = 'TRUNCATED';
 }
 
+/** The server sent interim heads and no answer. */
+export class EndlessInterimHeads extends Error {
+  readonly code = 'ENDLESS_INTERIM_HEADS';
+}
+
+/**
+ * Interim heads (1xx) before an answer. Servers send one or two; a faulty one may go on
+ * until the deadline.
+ */
+const MAXIMUM_INTERIM_HEADS = 10;
+
 /** Whether the connection could not be established. */
 function isConnectError(error: Error): boolean {
   return (error as NodeJS.ErrnoException).syscall === 'connect';
@@ -84,6 +95,7 @@
   const {agent, address, method, url, body, requestId} = options;
   let isFinished = false;
   let answer: IncomingMessage | undefined;
+  let interimHeads = 0;
   let pacer: ReadPacer | undefined;
   let history: ConnectionHistory | undefined;
 
@@ -136,6 +148,13 @@
     }
   }
 
+  function countInterimHead(): void {
+    interimHeads += 1;
+    if (interimHeads > MAXIMUM_INTERIM_HEADS) {
+      fail(new EndlessInterimHeads(`${interimHeads} heads before an answer`));
+    }
+  }
+
   let outgoing: ClientRequest;
   try {
     const requestOptions: ServerRequestOptions = {
@@ -156,6 +175,7 @@
     history = getHistory(socket);
     history.recordRequest(requestId);
   });
+  outgoing.on('information', countInterimHead);
   outgoing.on('response', readAnswer);
   outgoing.on('error', fail);
   outgoing.on('close', () => {
