--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -255,6 +255,7 @@
     countQuarantined: () => quarantine.list(clock.now()).length,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
     countFaultyServers: () => faults?.countFaulty() ?? 0,
+    countPausedServers: () => statements.count(StatementKind.PAUSE),
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -52,3 +52,5 @@
 } from './state/store_position.js';
 export {createSettingsFile} from './settings_file.js';
 export type {SettingsFile, SettingsFileOptions} from './settings_file.js';
+export {startGateway} from './start_gateway.js';
+export type {StartGatewayOptions} from './start_gateway.js';
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -97,11 +97,20 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_NON_SUCCESS_STATUS = 300;
+const LAST_STATUS = 599;
 
 export function isSuccess(status: number): boolean {
   return status >= FIRST_SUCCESS_STATUS && status < FIRST_NON_SUCCESS_STATUS;
 }
 
+/**
+ * Whether HTTP has final answers with the status. node:http reads any three digits, and
+ * can't write a status below 100.
+ */
+function isFinalStatus(status: number): boolean {
+  return status >= FIRST_SUCCESS_STATUS && status <= LAST_STATUS;
+}
+
 /** Whether the server states that it did not run the request. */
 function isRefusal({metadata}: AnswerHead): boolean {
   return metadata.isNotRun || metadata.isOtherServer;
@@ -130,12 +139,37 @@
   return head.metadata.requestId === requestId || isOwnRefusal;
 }
 
+/**
+ * Selects what the answer states about the server; undefined if it may be another's. A
+ * pause is also read from an answer without an id: servers may refuse before they have
+ * read the id, and whatever wrote it at this address asks for less load.
+ */
+function selectStatement(
+  head: AnswerHead,
+  context: HeadContext,
+): ServerStatement | undefined {
+  const {isOtherServer, requestId, statement} = head.metadata;
+  if (isOtherServer) {
+    return undefined;
+  }
+  if (isOwnAnswer(head, context)) {
+    return statement;
+  }
+  const {pauseMs} = statement;
+  return requestId === undefined && pauseMs !== undefined
+    ? {isLeaving: false, pauseMs}
+    : undefined;
+}
+
 /** Returns the reason why an answer cannot be used; undefined if it can. */
 function explainInvalidHead(
   head: AnswerHead,
   context: HeadContext,
 ): string | undefined {
   const {metadata, status} = head;
+  if (!isFinalStatus(status)) {
+    return 'invalid_status';
+  }
   if (!isOwnAnswer(head, context)) {
     return 'foreign_answer';
   }
@@ -207,8 +241,8 @@
       metadata: dialect.readAnswer(status, incoming.headers),
     };
     const context: HeadContext = {...options, isReused};
-    const {isOtherServer, statement} = received.metadata;
-    if (isOwnAnswer(received, context) && !isOtherServer) {
+    const statement = selectStatement(received, context);
+    if (statement) {
       options.onStatement?.(statement);
     }
     const problem = explainInvalidHead(received, context);
