feat(decisions): a choice of servers that spreads load by stale reports

Cause: instances that place by the same load report choose the same server until the next report. A new module fills the servers with the load that the fleet is predicted to add meanwhile, and placeGeneration chooses by it if asked to.

--- a/packages/decisions/src/engine_candidate.ts
+++ b/packages/decisions/src/engine_candidate.ts
@@ -26,6 +26,8 @@
   prefilledTokens: number;
   /** Recent ratio of failed requests, from 0 to 1. */
   failureRate: number;
+  /** Speed relative to the usual; 1 by default. */
+  speed?: number;
 }
 
 /** The generation to place. */
@@ -45,6 +47,14 @@
   remainingMs: number;
 }
 
+/** How a generation takes part in spreading the load that no report contains. */
+export interface EvenLoadOptions {
+  /** Prompt tokens that all instances may have sent since the load reports. */
+  unseenTokens: number;
+  /** Number in [0, 1), evenly distributed over the requests. */
+  position: number;
+}
+
 /** Options of {@link placeGeneration}. */
 export interface PlacementOptions {
   /** Prefill speed of a server, in prompt tokens per millisecond. */
@@ -60,4 +70,6 @@
   shortPool: ReadonlySet<string>;
   /** Number of instances that send requests, including this one. */
   instances: number;
+  /** Spreads by stale reports; without it the server of the lowest cost is chosen. */
+  evenLoad?: EvenLoadOptions | undefined;
 }
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -3,9 +3,11 @@
  * cached, unless waiting there costs more than a second prefill elsewhere.
  */
 import {findByRendezvous} from '@buckthornbeam/shared';
+import {chooseByShare, computeFill} from './even_load.js';
 import type {
   EngineCandidate,
   EngineRequest,
+  EvenLoadOptions,
   PlacementOptions,
 } from './engine_candidate.js';
 import {
@@ -64,18 +66,24 @@
   return findByRendezvous(request.sharedKey, serverIds);
 }
 
-/** Finds the server with the lowest cost; ties go to the preferred server. */
-function findCheapest(
+type PricedPlacement = EnginePlacement & {
+  cost: number;
+  /** Speed of the server relative to the usual. */
+  speed: number;
+};
+
+/** Estimates the times and the cost of each server. */
+function listPriced(
   candidates: readonly EngineCandidate[],
   request: EngineRequest,
   preferredId: string | undefined,
   options: PlacementOptions & {prefillWeight: number},
-): EnginePlacement | undefined {
-  const {tokensPerMs, copiedTokensPerMs = 0} = options;
+): PricedPlacement[] {
+  const {copiedTokensPerMs = 0} = options;
   const source = copiedTokensPerMs > 0 ? findCopySource(candidates) : undefined;
-  let best: (EnginePlacement & {cost: number}) | undefined;
-  for (const candidate of candidates) {
-    const {serverId} = candidate;
+  return candidates.map(candidate => {
+    const {serverId, speed = 1} = candidate;
+    const tokensPerMs = options.tokensPerMs * speed;
     const isPreferred = serverId === preferredId;
     const copy = planCopy(candidate, request, source);
     const prefillTokens = countPrefillTokens(candidate, request) - copy.tokens;
@@ -90,41 +98,71 @@
       request.outputTokens * estimateTokenMs(candidate, tokensPerMs);
     const timing = {prefillEndMs, endMs};
     const prefill = {prefillTokens, chargedTokens};
-    const cost = computeCost(candidate, request, prefill, timing, options);
-    if (!best || cost < best.cost || (cost === best.cost && isPreferred)) {
-      best = {
-        serverId,
-        prefillTokens,
-        copySourceId: copy.sourceId,
-        copiedTokens: copy.tokens,
-        isPreferred,
-        expectedPrefillMs: prefillEndMs,
-        expectedEndMs: endMs,
-        cost,
-      };
+    return {
+      serverId,
+      prefillTokens,
+      copySourceId: copy.sourceId,
+      copiedTokens: copy.tokens,
+      isPreferred,
+      expectedPrefillMs: prefillEndMs,
+      expectedEndMs: endMs,
+      speed,
+      cost: computeCost(candidate, request, prefill, timing, {
+        ...options,
+        tokensPerMs,
+      }),
+    };
+  });
+}
+
+/** Finds the server with the lowest cost; ties go to the preferred server. */
+function findCheapest(
+  priced: readonly PricedPlacement[],
+): PricedPlacement | undefined {
+  let best: PricedPlacement | undefined;
+  for (const item of priced) {
+    if (
+      !best ||
+      item.cost < best.cost ||
+      (item.cost === best.cost && item.isPreferred)
+    ) {
+      best = item;
     }
   }
   return best;
 }
 
+/** Chooses a server in proportion to what the load of others fills it with. */
+function chooseEvenly(
+  priced: readonly PricedPlacement[],
+  {unseenTokens, position}: EvenLoadOptions,
+  tokensPerMs: number,
+): PricedPlacement | undefined {
+  const shares = computeFill(
+    priced.map(({cost, speed}) => ({cost, capacity: speed * tokensPerMs})),
+    unseenTokens,
+  );
+  return priced[chooseByShare(shares, position)];
+}
+
 /** Places a generation; returns undefined if there are no candidates. */
 export function placeGeneration(
   candidates: readonly EngineCandidate[],
   request: EngineRequest,
   options: PlacementOptions,
 ): EnginePlacement | undefined {
+  const {tokensPerMs, evenLoad} = options;
   const preferredId = findPreferredServer(
     candidates,
     request,
     options.shortPool,
   );
-  const prefillWeight = computePrefillWeight(
-    candidates,
-    request,
-    options.tokensPerMs,
-  );
-  return findCheapest(candidates, request, preferredId, {
+  const prefillWeight = computePrefillWeight(candidates, request, tokensPerMs);
+  const priced = listPriced(candidates, request, preferredId, {
     ...options,
     prefillWeight,
   });
+  return evenLoad
+    ? chooseEvenly(priced, evenLoad, tokensPerMs)
+    : findCheapest(priced);
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -96,6 +96,7 @@
 export type {
   EngineCandidate,
   EngineRequest,
+  EvenLoadOptions,
   PlacementOptions,
 } from './engine_candidate.js';
 export {placeGeneration} from './engine_placement.js';
@@ -137,6 +138,18 @@
 export type {ShortPoolOptions} from './short_pool.js';
 export {canEndBeforeStop, createLongestDuration} from './stop_admission.js';
 export type {LongestDuration, StopAdmission} from './stop_admission.js';
+export {
+  chooseByShare,
+  computeFill,
+  createLoadSpread,
+  estimateEndedRatio,
+} from './even_load.js';
+export type {
+  FillTarget,
+  LoadSpread,
+  SpreadChoice,
+  SpreadPlace,
+} from './even_load.js';
 export {estimateUnseenTokens} from './unseen_load.js';
 export type {UnseenLoadOptions} from './unseen_load.js';
 export {createUpdateQueue} from './update_queue.js';
