feat(gateway): engines.spreading spreads plain requests and short prompts by stale reports

Cause: all instances of a fleet place by the same totals, which are 0.3 s old, and choose the same idle server within a round. The choice among servers moves out of server_selection into server_choice.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -92,7 +92,7 @@
 export type {TokenBucket, TokenBucketOptions} from './token_bucket.js';
 export {computeColdRate, createColdLimit} from './cold_limit.js';
 export type {ColdLimit, ColdLimitOptions, ColdTolerance} from './cold_limit.js';
-export {estimateTokenMs} from './engine_costs.js';
+export {estimateTokenMs, isShortPrompt} from './engine_costs.js';
 export type {
   EngineCandidate,
   EngineRequest,
--- a/packages/experiment/src/cases.ts
+++ b/packages/experiment/src/cases.ts
@@ -1,4 +1,5 @@
 /** Experiment cases: a fleet and its load, named after the load pattern. */
+import {Spreading} from '@buckthornbeam/gateway';
 import type {EngineProfile} from './engine.js';
 import type {RequestKind} from './load_generator.js';
 import type {ExperimentCase} from './run_experiment.js';
@@ -83,6 +84,7 @@
   durationMs: 24_000,
   dataCentres: 6,
   shortPromptRatio: 0.2,
+  spreading: Spreading.OFF,
 };
 
 export const cases: Readonly<Record<string, ExperimentCase>> = {
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -27,11 +27,15 @@
   RequestUrgency,
   Route,
   SelectedServer,
+  ServerLoads,
   ServerSelection,
   Service,
+  Spreading,
 } from '@buckthornbeam/gateway';
 import {hashToUint32} from '@buckthornbeam/shared';
 import type {RandomSource} from '@buckthornbeam/shared';
+import {createStalenessTracker} from './staleness.js';
+import type {Staleness} from './staleness.js';
 import type {EventQueue} from './event_queue.js';
 import {createSimulatedEngine} from './engine_model.js';
 import type {SimulatedEngine, EngineProfile} from './engine.js';
@@ -56,11 +60,14 @@
   dataCentres: number;
   /** Ratio of the servers reserved for short prompts to all servers. */
   shortPromptRatio: number;
+  /** How servers are chosen by load reports. */
+  spreading: Spreading;
 }
 
 export interface SimulatedInstance {
   id: string;
   selection: ServerSelection;
+  loads: ServerLoads;
 }
 
 export interface SimulatedFleet {
@@ -88,6 +95,8 @@
    * instance stated that the server leaves.
    */
   countSentToLeaving(): number;
+  /** Describes the loads by which servers were chosen. */
+  describeStaleness(): Staleness;
 }
 
 const SERVICE_NAME = 'engines';
@@ -229,6 +238,7 @@
       locations,
       prefillTokensPerMs: profile.prefillTokensPerMs,
       shortPromptRatio: options.shortPromptRatio,
+      spreading: options.spreading,
       listInstances: () => instanceIds,
       coldOverage: 1,
       coldSlack: 0,
@@ -255,6 +265,7 @@
       id,
       dataCentre,
       selection,
+      loads,
       node,
       isReportScheduled: false,
     };
@@ -283,6 +294,10 @@
   }
 
   const instances = instanceIds.map(createInstance);
+  const staleness = createStalenessTracker({
+    serverIds: servers.map(({server}) => server.id),
+    loads: instances.map(({loads}) => loads),
+  });
   const instancesByAddress = new Map(
     instances.map(instance => [instance.id, instance]),
   );
@@ -345,6 +360,7 @@
     engines,
     rank: rankRequest,
     countSentToLeaving: () => sentToLeaving,
+    describeStaleness: () => staleness.describe(),
     recordAnswer: (instance, server, sentAt) => {
       const {isLeaving} = engines.get(server.id)!;
       const requestId = instance.id;
@@ -361,6 +377,7 @@
     },
     select: (instance, request, remainingMs, excluded) => {
       const {targetMs, pauseMs} = request.kind;
+      staleness.observe(instance.loads, eventQueue.now);
       const selected = instance.selection.select(
         routes.get(request.kind.name)!,
         buildMetadata(request),
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -1,16 +1,18 @@
 /** `npm run experiment`: runs a case and prints its results. */
 import {parseArgs} from 'node:util';
 import {RouterError} from '@buckthornbeam/shared';
+import {Spreading} from '@buckthornbeam/gateway';
 import {cases} from './cases.js';
 import {runExperiment} from './run_experiment.js';
 import type {ExperimentResult} from './run_experiment.js';
 
 const USAGE = `npm run experiment -- [--case ${Object.keys(cases).join('|')}]
   [--seeds N] [--servers N] [--instances N] [--data-centres N]
-  [--short-part RATIO] [--json]
+  [--short-part RATIO] [--spreading off|even] [--json]
 `;
 
 function formatResult(result: ExperimentResult): string {
+  const {ageMs, error} = result.staleness;
   const rows = result.kinds.map(kind =>
     [
       kind.name.padEnd(8),
@@ -31,6 +33,8 @@
       `${(result.readAgainTokens / 1e6).toFixed(2)} M of them repeatedly, ` +
       `${(result.copiedTokens / 1e6).toFixed(2)} M copied, ` +
       `${result.preemptions} preempted, ${result.sentToLeaving} sent to leaving servers`,
+    `load reports: age p50 ${ageMs.p50.toFixed(0)} ms, p95 ${ageMs.p95.toFixed(0)} ms; ` +
+      `error p50 ${error.p50.toFixed(2)}, p95 ${error.p95.toFixed(2)} requests a server`,
   ].join('\n');
 }
 
@@ -45,6 +49,17 @@
   return value;
 }
 
+function parseSpreading(
+  text: string | undefined,
+  fallback: Spreading,
+): Spreading {
+  const found = Object.values(Spreading).find(value => value === text);
+  if (text !== undefined && found === undefined) {
+    throw new RouterError('usage', `"${text}" is neither off nor even`);
+  }
+  return found ?? fallback;
+}
+
 function runMain(): void {
   const {values} = parseArgs({
     options: {
@@ -54,6 +69,7 @@
       instances: {type: 'string'},
       'data-centres': {type: 'string'},
       'short-part': {type: 'string'},
+      spreading: {type: 'string'},
       json: {type: 'boolean', default: false},
     },
   });
@@ -70,6 +86,7 @@
       values['short-part'],
       baseCase.shortPromptRatio,
     ),
+    spreading: parseSpreading(values.spreading, baseCase.spreading),
   };
   const seeds = parseNumber(values.seeds, 1);
   for (let seed = 1; seed <= seeds; seed++) {
--- a/packages/experiment/src/run_experiment.ts
+++ b/packages/experiment/src/run_experiment.ts
@@ -1,6 +1,7 @@
 /** Runs a generated load on a simulated fleet and counts the results. */
 import {createRandom} from '@buckthornbeam/shared';
 import type {RandomSource} from '@buckthornbeam/shared';
+import type {Spreading} from '@buckthornbeam/gateway';
 import {createEventQueue} from './event_queue.js';
 import type {EventQueue} from './event_queue.js';
 import {createResultTracker} from './result_tracker.js';
@@ -8,6 +9,7 @@
 import type {SimulatedEngine, EngineProfile, EngineTotals} from './engine.js';
 import {createSimulatedFleet} from './fleet_model.js';
 import type {SimulatedFleet} from './fleet_model.js';
+import type {Staleness} from './staleness.js';
 import {createLoad} from './load_generator.js';
 import type {Burst, Crash, Leaving, RequestKind} from './load_generator.js';
 import {createSimulatedCallers} from './caller_model.js';
@@ -27,6 +29,7 @@
   durationMs: number;
   dataCentres: number;
   shortPromptRatio: number;
+  spreading: Spreading;
 }
 
 export interface ExperimentResult {
@@ -45,6 +48,7 @@
   preemptions: number;
   /** Requests sent to servers after they had stated that they leave. */
   sentToLeaving: number;
+  staleness: Staleness;
 }
 
 function sumBy<T>(items: readonly T[], getValue: (item: T) => number): number {
@@ -130,5 +134,6 @@
     copiedTokens: sumTotals('copiedTokens'),
     preemptions: sumTotals('preemptions'),
     sentToLeaving: fleet.countSentToLeaving(),
+    staleness: fleet.describeStaleness(),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -101,7 +101,10 @@
     logger,
     decodeConfiguration: text => options.store.decodeConfiguration(text),
   });
-  const loads = createServerLoads({onChange: () => gossip.reportChange()});
+  const loads = createServerLoads({
+    onChange: () => gossip.reportChange(),
+    onLoadError: requests => metrics.observeLoadError(requests),
+  });
   const activity = createServerActivity();
   const locations = createPrefixLocations();
   let isStopping = false;
@@ -271,6 +274,7 @@
     locations,
     prefillTokensPerMs: settings.engines.readingTokensPerMs,
     shortPromptRatio: settings.engines.shortPromptPart,
+    spreading: settings.engines.spreading,
     listInstances,
     coldOverage: settings.cold.overage,
     coldSlack: settings.cold.slack,
--- a/packages/gateway/src/http/request_log.ts
+++ b/packages/gateway/src/http/request_log.ts
@@ -97,6 +97,10 @@
     totalMs: Math.round(now - log.receivedAt),
     deadlineMs: log.metadata?.deadlineMs,
     promptTokens: log.metadata?.generation?.promptTokens,
+    loadAgeMs:
+      report?.loadAgeMs === undefined
+        ? undefined
+        : Math.round(report.loadAgeMs),
     ...describePlacement(report?.placement),
   };
 }
@@ -132,6 +136,9 @@
   if (report?.isDiverted) {
     metrics.countDiverted();
   }
+  if (report?.loadAgeMs !== undefined) {
+    metrics.observeLoadAge(report.loadAgeMs);
+  }
   if (report?.firstByteMs !== undefined) {
     metrics.observeFirstByte(route, report.firstByteMs);
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,7 @@
 export {createServerActivity} from './state/server_activity.js';
 export {createServerLoads} from './state/server_loads.js';
 export type {ServerLoads} from './state/server_loads.js';
+export {Spreading} from './state/load_spreading.js';
 export {createServerSelection} from './state/server_selection.js';
 export type {
   SelectedServer,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,10 @@
   countAttempt(reason: string): void;
   /** Counts a request sent elsewhere, since the rate of a server is used up. */
   countDiverted(): void;
+  /** Observes the age of the load reports by which a server was chosen. */
+  observeLoadAge(ms: number): void;
+  /** Observes the mean error of earlier reports, in requests at a server. */
+  observeLoadError(requests: number): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
   countStoreRead(isSuccess: boolean): void;
@@ -37,6 +41,10 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 2.5, 4, 6, 10,
 ];
 
+/** Covers rounds of gossip, lost ones, and the lifetime of reports. */
+const LOAD_AGE_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2, 3];
+const LOAD_ERROR_BUCKETS = [0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32];
+
 export function createGatewayMetrics(sources: MetricsSources): GatewayMetrics {
   const registry = new Registry();
   const registers = [registry];
@@ -71,6 +79,18 @@
     help: 'Requests sent elsewhere since the limited rate of a server was used up.',
     registers,
   });
+  const loadAge = new Histogram({
+    name: 'buckthornbeam_load_age_seconds',
+    help: 'Age of the load reports by which servers were chosen.',
+    buckets: LOAD_AGE_BUCKETS_S,
+    registers,
+  });
+  const loadError = new Histogram({
+    name: 'buckthornbeam_load_error_requests',
+    help: 'Mean difference of the requests at a server between a load report and the next.',
+    buckets: LOAD_ERROR_BUCKETS,
+    registers,
+  });
   const connections = new Counter({
     name: 'buckthornbeam_server_connections_total',
     help: 'Connections opened to backend servers.',
@@ -139,6 +159,8 @@
       duration.observe({route}, ms / MS_PER_SECOND),
     countAttempt: reason => attempts.inc({reason}),
     countDiverted: () => diverted.inc(),
+    observeLoadAge: ms => loadAge.observe(ms / MS_PER_SECOND),
+    observeLoadError: requests => loadError.observe(requests),
     countConnection: () => connections.inc(),
     countStoreRead: isSuccess =>
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -76,6 +76,8 @@
   placement: EnginePlacement | undefined;
   /** Whether servers were left out since their rate of requests is used up. */
   isDiverted: boolean;
+  /** Age of the load reports at the last choice of a server, in milliseconds. */
+  loadAgeMs?: number | undefined;
   /** Time until the first event or the complete answer, in milliseconds. */
   firstByteMs: number | undefined;
   error: RouterError | undefined;
@@ -281,6 +283,7 @@
     report.sentMs.push(sentAt - receivedAt);
     report.placement = selected.placement;
     report.isDiverted ||= selected.isDiverted;
+    report.loadAgeMs = selected.loadAgeMs;
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,7 @@
 /** Schema and parser of a gateway's settings, which are one JSON file. */
 import {LogLevel, RouterError} from '@buckthornbeam/shared';
 import {z} from 'zod';
+import {Spreading} from './state/load_spreading.js';
 
 const addressSchema = z
   .string()
@@ -92,6 +93,8 @@
        * see docs/design/platform.md.
        */
       shortPromptPart: z.number().min(0).max(0.9).default(0.2),
+      /** Whether load is spread by stale reports, see docs/design/even_load.md. */
+      spreading: z.enum(Object.values(Spreading)).default(Spreading.OFF),
     })
     .prefault({}),
   limits: z
--- a/packages/gateway/src/state/server_loads.ts
+++ b/packages/gateway/src/state/server_loads.ts
@@ -4,18 +4,10 @@
  * the fleet that a publisher sends.
  */
 import {createCachedHash} from '@buckthornbeam/shared';
+import {NO_LOAD, addReport, computeLoadError, listRows} from './load_sums.js';
+import type {LoadReport, LoadRow, ServerLoad} from './load_sums.js';
 
-/** Load at one server. */
-export interface ServerLoad {
-  /** Number of requests. */
-  inFlight: number;
-  /** Prompt tokens that are not prefilled yet. */
-  pendingPrefillTokens: number;
-  /** Tokens of all requests in flight. */
-  inFlightTokens: number;
-  /** Prompt tokens sent for prefill per millisecond, a decaying average. */
-  prefillTokensPerMs: number;
-}
+export type {LoadReport, LoadRow, ServerLoad} from './load_sums.js';
 
 /** Handle of one request in flight. */
 export interface RequestHandle {
@@ -25,20 +17,6 @@
   end(): void;
 }
 
-/** Load of one instance, or of several, at one server. */
-export type LoadRow = [
-  /** Hash of the server's id. */
-  serverHash: number,
-  /** The remaining elements are the fields of {@link ServerLoad}. */
-  inFlight: number,
-  pendingPrefillTokens: number,
-  inFlightTokens: number,
-  prefillTokensPerMs: number,
-];
-
-/** Load report: the load of one instance, or of several, by server. */
-export type LoadReport = readonly LoadRow[];
-
 /** What one request adds to the load of its server. */
 export interface RequestLoad {
   /** Prompt tokens that the server has to prefill. */
@@ -47,6 +25,17 @@
   totalTokens?: number;
 }
 
+/** Age of the load reports in use. */
+export interface ReportAge {
+  /** Mean age of the loads, in milliseconds. */
+  ageMs: number;
+  /**
+   * When the totals arrived; 0 if there are none, since the reports of a full mesh
+   * arrive one by one.
+   */
+  arrivedAt: number;
+}
+
 /** Load at all servers; `now` is the local monotonic time in milliseconds. */
 export interface ServerLoads {
   /** Adds a request of this instance to the load of a server. */
@@ -54,6 +43,10 @@
   /** Returns the load of all instances at a server. */
   getLoad(serverId: string, now: number): ServerLoad;
   getOwnInFlight(serverId: string): number;
+  /** Returns the load of the other instances at a server, as reported. */
+  getPeerLoad(serverId: string, now: number): ServerLoad;
+  /** Returns the age of the loads of others; undefined without any report. */
+  findReportAge(now: number): ReportAge | undefined;
   /** Builds the report of the own load and notes it as sent. */
   buildReport(now: number): LoadReport;
   /** Builds the sum of the own load and the reports of the own group. */
@@ -86,6 +79,11 @@
 const REPORT_LIFETIME_MS = 3000;
 /** An own report that was sent less long ago is not in the totals yet. */
 const REPORT_TRANSIT_MS = 20;
+/**
+ * Mean age of the loads in totals when they arrive: a report, the sum of a group and
+ * the totals each wait for half a round on average.
+ */
+const TOTALS_AGE_MS = 190;
 /** Time constant of the average prefill rate. */
 const PREFILL_RATE_WINDOW_MS = 2000;
 /** Time for which sums are cached unless a report arrives. */
@@ -119,45 +117,6 @@
   decayedAt: number;
 }
 
-const NO_LOAD: Readonly<ServerLoad> = {
-  inFlight: 0,
-  pendingPrefillTokens: 0,
-  inFlightTokens: 0,
-  prefillTokensPerMs: 0,
-};
-
-/** Adds the rows of a report to sums by server; subtracts them if `sign` is -1. */
-function addReport(
-  sums: Map<number, ServerLoad>,
-  report: LoadReport,
-  sign: 1 | -1 = 1,
-): void {
-  for (const [serverHash, inFlight, pendingTokens, tokens, rate] of report) {
-    let sum = sums.get(serverHash);
-    if (!sum) {
-      sum = {...NO_LOAD};
-      sums.set(serverHash, sum);
-    }
-    sum.inFlight = Math.max(0, sum.inFlight + sign * inFlight);
-    sum.pendingPrefillTokens = Math.max(
-      0,
-      sum.pendingPrefillTokens + sign * pendingTokens,
-    );
-    sum.inFlightTokens = Math.max(0, sum.inFlightTokens + sign * tokens);
-    sum.prefillTokensPerMs = Math.max(0, sum.prefillTokensPerMs + sign * rate);
-  }
-}
-
-function listRows(sums: ReadonlyMap<number, ServerLoad>): LoadReport {
-  return [...sums].map(([serverHash, sum]) => [
-    serverHash,
-    sum.inFlight,
-    sum.pendingPrefillTokens,
-    sum.inFlightTokens,
-    sum.prefillTokensPerMs,
-  ]);
-}
-
 function removeUnlisted(
   reports: Map<string, TimedReport>,
   keys: ReadonlySet<string>,
@@ -173,10 +132,16 @@
 export interface ServerLoadsOptions {
   /** Called after each change of the own load. */
   onChange?: () => void;
+  /**
+   * Called when reports arrive, with the mean error that the earlier ones had by
+   * then: the difference of the requests in flight at a server.
+   */
+  onLoadError?: (requests: number) => void;
 }
 
 export function createServerLoads({
   onChange = () => undefined,
+  onLoadError = () => undefined,
 }: ServerLoadsOptions = {}): ServerLoads {
   const ownLoads = new Map<string, OwnLoad>();
   const memberReports = new Map<string, TimedReport>();
@@ -311,10 +276,39 @@
     return peerLoads;
   }
 
+  function getPeerLoad(serverId: string, now: number): ServerLoad {
+    return sumPeerLoads(now).get(hashServer(serverId)) ?? NO_LOAD;
+  }
+
   function resetSums(): void {
     summedAt = -Infinity;
   }
 
+  function findReportAge(now: number): ReportAge | undefined {
+    if (totals && now - totals.at <= REPORT_LIFETIME_MS) {
+      return {ageMs: now - totals.at + TOTALS_AGE_MS, arrivedAt: totals.at};
+    }
+    let count = 0;
+    let ageSum = 0;
+    for (const reports of [memberReports, groupSums]) {
+      for (const {at} of reports.values()) {
+        if (now - at <= REPORT_LIFETIME_MS) {
+          count += 1;
+          ageSum += now - at;
+        }
+      }
+    }
+    return count > 0 ? {ageMs: ageSum / count, arrivedAt: 0} : undefined;
+  }
+
+  /** Reports how far the loads of others were from what has just arrived. */
+  function reportError(before: ReadonlyMap<number, ServerLoad>, now: number) {
+    const error = computeLoadError(before, sumPeerLoads(now));
+    if (error !== undefined) {
+      onLoadError(error);
+    }
+  }
+
   function buildReport(now: number): LoadReport {
     const report = listOwnRows(now);
     sentReports = [{report, at: now}, ...sentReports].slice(0, 2);
@@ -325,16 +319,22 @@
     const included = sentReports.find(
       ({at}) => now - at >= REPORT_TRANSIT_MS && now - at <= REPORT_LIFETIME_MS,
     );
+    const before = totals && sumReceived(now);
     totals = {report, at: now, ownReport: included?.report ?? []};
     resetSums();
+    if (before) {
+      reportError(before, now);
+    }
   }
 
   return {
     add,
     getOwnInFlight: serverId => ownLoads.get(serverId)?.inFlight ?? 0,
+    getPeerLoad,
+    findReportAge,
     getLoad: (serverId, now) => {
       const ownLoad = ownLoads.get(serverId);
-      const peerLoad = sumPeerLoads(now).get(hashServer(serverId)) ?? NO_LOAD;
+      const peerLoad = getPeerLoad(serverId, now);
       return {
         inFlight: peerLoad.inFlight + (ownLoad?.inFlight ?? 0),
         pendingPrefillTokens:
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -1,18 +1,10 @@
 /** Selects the backend server for the next attempt of a request. */
-import {
-  StatementKind,
-  chooseShortPool,
-  estimateUnseenTokens,
-  listPrefixes,
-  placeGeneration,
-} from '@buckthornbeam/decisions';
+import {StatementKind, listPrefixes} from '@buckthornbeam/decisions';
 import type {
   EnginePlacement,
   PrefixLocations,
-  PromptPrefix,
   ServerOutcome,
 } from '@buckthornbeam/decisions';
-import {countLoadSharers} from '@buckthornbeam/membership';
 import {hashToUint32} from '@buckthornbeam/shared';
 import type {
   BackendServer,
@@ -29,7 +21,9 @@
 import type {PlacementLimits} from './engine_request.js';
 import type {ClusterState} from './cluster_state.js';
 import type {ServerActivity} from './server_activity.js';
+import type {Spreading} from './load_spreading.js';
 import {createServerAvailability} from './server_availability.js';
+import {buildCacheKey, createServerChoice} from './server_choice.js';
 import type {TrackedServer} from './server_entries.js';
 import type {ServerLoads, RequestHandle} from './server_loads.js';
 import {createStatementTracker} from './statement_tracker.js';
@@ -66,6 +60,10 @@
   coldSlack: number;
   /** What servers state in their answers. */
   statements?: StatementTracker;
+  /** How servers are chosen by load reports; the lowest cost by default. */
+  spreading?: Spreading;
+  /** Speed of a server relative to the usual, for spreading; 1 by default. */
+  getServerSpeed?: (serverId: string) => number;
   /** Returns a number in [0, 1). */
   random?: () => number;
 }
@@ -84,6 +82,8 @@
   copySource?: string;
   /** Whether servers were left out since their rate of requests is used up. */
   isDiverted: boolean;
+  /** Age of the load reports of others; absent without any. */
+  loadAgeMs?: number | undefined;
 }
 
 /** Time limits of a request, and its place if it waits already. */
@@ -126,31 +126,16 @@
   prune(now: number): void;
 }
 
-type PlacedServer = Omit<SelectedServer, 'isDiverted'>;
-
-/** Cost of a server in another data centre, as a fraction of its slots. */
-const OTHER_DATA_CENTRE_COST = 0.05;
-/** Cost of a server that fails every request, as a multiple of its slots. */
-const FAILURE_RATE_COST = 3;
-/** Keeps instances from choosing the same one of several equal servers. */
-const MAXIMUM_RANDOM_COST = 0.05;
-
-/** Identifies the KV cache of a server, which is empty again after a restart. */
-function buildCacheKey({server}: TrackedServer): string {
-  return `${server.id}@${server.startedAt ?? 0}`;
-}
+type PlacedServer = Omit<SelectedServer, 'isDiverted' | 'loadAgeMs'>;
 
 export function createServerSelection(
   options: ServerSelectionOptions,
 ): ServerSelection {
   const {clusterState, loads, locations} = options;
-  const {random = Math.random, statements = createStatementTracker()} = options;
-  const prefillTokensPerMs = options.prefillTokensPerMs;
+  const {statements = createStatementTracker()} = options;
   const availability = createServerAvailability({...options, statements});
+  const choice = createServerChoice({...options, availability});
   const waiting = createWaitingRequests();
-  /** Last pool for short prompts, and the server ids that it was chosen from. */
-  let shortPoolKey = '';
-  let currentShortPool: ReadonlySet<string> = new Set();
 
   function isInRegion(route: Route, server: BackendServer): boolean {
     const region = options.regions[server.dataCentre];
@@ -178,27 +163,6 @@
     });
   }
 
-  function choosePlain(
-    servers: readonly TrackedServer[],
-    now: number,
-  ): TrackedServer | undefined {
-    let best: {tracked: TrackedServer; cost: number} | undefined;
-    for (const tracked of servers) {
-      const {server} = tracked;
-      const load = loads.getLoad(server.id, now);
-      const isLocal = server.dataCentre === options.dataCentre;
-      const cost =
-        load.inFlight / Math.max(1, server.slots) +
-        availability.computeFailureRate(server.id, now) * FAILURE_RATE_COST +
-        (isLocal ? 0 : OTHER_DATA_CENTRE_COST) +
-        random() * MAXIMUM_RANDOM_COST;
-      if (!best || cost < best.cost) {
-        best = {tracked, cost};
-      }
-    }
-    return best?.tracked;
-  }
-
   function selectPlain(
     servers: readonly TrackedServer[],
     service: Service,
@@ -207,8 +171,9 @@
   ): PlacedServer | undefined {
     const remaining = [...servers];
     while (remaining.length > 0) {
-      const tracked = choosePlain(remaining, now)!;
+      const tracked = choice.choosePlain(remaining, service, instances, now)!;
       if (availability.claim(tracked, service, instances, now)) {
+        choice.recordSent(service, 0, now);
         const requestHandle = loads.add(tracked.server.id, {}, now);
         return {
           server: tracked.server,
@@ -222,53 +187,6 @@
     return undefined;
   }
 
-  function buildCandidate(
-    tracked: TrackedServer,
-    service: Service,
-    prefixes: readonly PromptPrefix[],
-    instances: number,
-    now: number,
-  ) {
-    const {server} = tracked;
-    const load = loads.getLoad(server.id, now);
-    const cacheKey = buildCacheKey(tracked);
-    return {
-      serverId: server.id,
-      slots: server.slots,
-      kvCacheTokens: service.engine?.kvCacheTokens ?? Infinity,
-      ...load,
-      pendingPrefillTokens:
-        load.pendingPrefillTokens +
-        estimateUnseenTokens({
-          prefillTokensPerMs: load.prefillTokensPerMs,
-          sharers: countLoadSharers(instances),
-          random,
-        }),
-      ownInFlight: loads.getOwnInFlight(server.id),
-      cachedTokens: locations.countExpectedTokens(cacheKey, prefixes, now),
-      prefilledTokens: locations.countPrefilledTokens(cacheKey, prefixes, now),
-      failureRate: availability.computeFailureRate(server.id, now),
-    };
-  }
-
-  /** Returns the servers of a service that are reserved for short prompts. */
-  function getShortPool(service: Service, now: number): ReadonlySet<string> {
-    // Unusable servers in the pool would reduce its size.
-    const serverIds = clusterState
-      .listServers(service.name)
-      .filter(({server}) => availability.isUsable(server, now))
-      .map(({server}) => server.id);
-    const key = serverIds.join('\n');
-    if (key !== shortPoolKey) {
-      shortPoolKey = key;
-      currentShortPool = chooseShortPool({
-        serverIds,
-        ratio: options.shortPromptRatio,
-      });
-    }
-    return currentShortPool;
-  }
-
   function selectEngine(
     servers: readonly TrackedServer[],
     service: Service,
@@ -279,19 +197,15 @@
   ): PlacedServer | undefined {
     const request = buildEngineRequest(metadata, limits);
     const prefixes = listPrefixes(metadata.blocks.slice(0, -1), metadata.model);
-    const shortPool = getShortPool(service, now);
     let remaining = [...servers];
     while (remaining.length > 0) {
-      const candidates = remaining.map(tracked =>
-        buildCandidate(tracked, service, prefixes, instances.length, now),
-      );
-      const placement = placeGeneration(candidates, request, {
-        tokensPerMs: prefillTokensPerMs,
-        copiedTokensPerMs: service.engine?.copiedTokensPerMs ?? 0,
-        tokensPerEvent: service.engine?.tokensPerEvent ?? 0,
-        shortPool,
-        instances: instances.length,
-      })!;
+      const placement = choice.placeEngine(
+        remaining,
+        service,
+        {request, prefixes},
+        instances,
+        now,
+      )!;
       const {serverId, prefillTokens, expectedEndMs} = placement;
       if (
         expectedEndMs >
@@ -303,6 +217,7 @@
       if (availability.claim(tracked, service, instances, now)) {
         const cacheKey = buildCacheKey(tracked);
         locations.recordSent(cacheKey, prefixes, now);
+        choice.recordSent(service, request.promptTokens, now);
         const load = {
           pendingPrefillTokens: prefillTokens,
           // Cached prefix blocks are stored once, however many requests share them.
@@ -393,8 +308,11 @@
               )
             : selectPlain(servers, service, instances, now);
         if (selected) {
-          const isDiverted = servers.length < acceptable.length;
-          return {...selected, isDiverted};
+          return {
+            ...selected,
+            isDiverted: servers.length < acceptable.length,
+            loadAgeMs: loads.findReportAge(now)?.ageMs,
+          };
         }
       }
       return undefined;
@@ -437,6 +355,7 @@
     prune: now => {
       const listed = clusterState.listServerIds();
       availability.retain(listed);
+      choice.retain(clusterState.getConfiguration()?.services);
       statements.retain(
         [...listed].map(id => clusterState.findServer(id)!.server),
         now,
