fix(gateway): the prediction for even load keeps the reported prefill

Cause: pending prefill was reduced by the age of the report, while only short prompts were predicted to arrive: servers with long prompts looked idle. Methods now place the same requests in the model.

--- a/packages/decisions/__tests__/support/placement_methods.ts
+++ b/packages/decisions/__tests__/support/placement_methods.ts
@@ -146,21 +146,13 @@
 }
 
 /** Subtracts the load of others that has ended since the report. */
-function drainServer(
-  server: ServerView,
-  ageMs: number,
-  endedRatio: number,
-): ServerView {
-  const {others, speed} = server;
+function drainServer(server: ServerView, endedRatio: number): ServerView {
+  const {others} = server;
   return {
     ...server,
     others: {
       ...others,
       inFlight: others.inFlight * (1 - endedRatio),
-      pendingTokens: Math.max(
-        0,
-        others.pendingTokens - ageMs * speed * MODEL_TOKENS_PER_MS,
-      ),
     },
   };
 }
@@ -206,7 +198,6 @@
       : view.servers.map(server =>
           drainServer(
             server,
-            ageMs,
             estimateEndedRatio({unseen, reported, speed: server.speed}),
           ),
         );
--- a/packages/decisions/__tests__/support/stale_load_model.ts
+++ b/packages/decisions/__tests__/support/stale_load_model.ts
@@ -101,6 +101,7 @@
 export const MODEL_TOKENS_PER_MS = 61.8;
 const DURATION_MS = 8000;
 const WARM_UP_MS = 3000;
+const CHOICE_SEED = 1000;
 const INTERVAL_MS = 250;
 const RATE_WINDOW_MS = 2000;
 /** Shortest to mean service time; the rest is distributed exponentially. */
@@ -149,6 +150,8 @@
 export function runModel(options: ModelOptions): ModelResult {
   const {choosers, ageMs, kinds, isPartitioned, isIsolated} = options;
   const random = createRandom(options.seed ?? 1);
+  /** Apart, so that all methods place the same requests. */
+  const choiceRandom = createRandom(CHOICE_SEED);
   const servers = options.speeds.map(
     (speed): Server => ({
       speed,
@@ -195,7 +198,7 @@
       ageMs: now - at,
       reportedAt: at,
       now,
-      random,
+      random: choiceRandom,
       servers: servers.map(({speed, cached}, index) => {
         const location = cached.get(request.subject);
         const isKnown =
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -48,6 +48,17 @@
     const settings = parseGatewaySettings(JSON.stringify(SETTINGS));
     assert.is(settings.keys.failClosed, true);
     assert.is(settings.stop.graceMs, 8000);
+    assert.is(settings.engines.spreading, 'off');
+  });
+
+  it('of spreading are off or even', () => {
+    const parse = (spreading: string) =>
+      parseGatewaySettings(JSON.stringify({...SETTINGS, engines: {spreading}}));
+    assert.is(parse('even').engines.spreading, 'even');
+    assert.match(
+      readMessage(() => parse('some')),
+      'engines.spreading',
+    );
   });
 
   it('ignore unknown fields', () => {
--- a/packages/gateway/src/state/load_spreading.ts
+++ b/packages/gateway/src/state/load_spreading.ts
@@ -20,8 +20,6 @@
 export interface LoadSpreadingOptions {
   selfId: string;
   loads: Pick<ServerLoads, 'getLoad' | 'getPeerLoad' | 'findReportAge'>;
-  /** Prompt tokens that a model server of speed 1 prefills in a millisecond. */
-  prefillTokensPerMs: number;
   /** Speed of a server relative to the usual; 1 for all by default. */
   getServerSpeed?: (serverId: string) => number;
 }
@@ -34,7 +32,10 @@
   unseenTokens: number;
   /** Number in [0, 1), evenly distributed over the requests of all instances. */
   position: number;
-  /** Estimates the load of a server now. */
+  /**
+   * Estimates the load of a server now. Its pending prefill is kept as reported: long
+   * prompts that others have sent since replace what was prefilled.
+   */
   estimateLoad(server: BackendServer): ServerLoad;
 }
 
@@ -67,7 +68,6 @@
 export function createLoadSpreading({
   selfId,
   loads,
-  prefillTokensPerMs,
   getServerSpeed = () => 1,
 }: LoadSpreadingOptions): LoadSpreading {
   const spreads = new Map<string, ServiceSpread>();
@@ -111,13 +111,9 @@
           const others = loads.getPeerLoad(id, now);
           const speed = getServerSpeed(id);
           const endedRatio = estimateEndedRatio({unseen, reported, speed});
-          const prefilled = place.ageMs * prefillTokensPerMs * speed;
           return {
             ...load,
             inFlight: load.inFlight - others.inFlight * endedRatio,
-            pendingPrefillTokens:
-              load.pendingPrefillTokens -
-              Math.min(others.pendingPrefillTokens, prefilled),
           };
         },
       };
