--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,7 +102,10 @@
     logger,
     decodeConfiguration: text => options.store.decodeConfiguration(text),
   });
-  const loads = createServerLoads({onChange: () => gossip.reportChange()});
+  const loads = createServerLoads({
+    onChange: () => gossip.reportChange(),
+    onLoadError: requests => metrics.observeLoadError(requests),
+  });
   const activity = createServerActivity();
   const faults = settings.failures.shared
     ? createFaultTracker({logger})
@@ -278,6 +281,7 @@
     locations,
     prefillTokensPerMs: settings.engines.readingTokensPerMs,
     shortPromptRatio: settings.engines.shortPromptPart,
+    spreading: settings.engines.spreading,
     listInstances,
     coldOverage: settings.cold.overage,
     coldSlack: settings.cold.slack,
