feat(decisions): fair shares of scarce capacity between customers

Cause: scarce capacity goes to whoever asks most often; a large customer at 7.5 times its usual load takes it from all others. Ruled out: counters of service against the least of the backlogged customers, and deficit counters by instance; with sums 300 ms old the first leave capacity unused and the second refuse what fits. Equal shares alone let a burst of all customers fall on the large ones. Change: weighted max-min shares of what the fleet serves; a request is admitted with the ratio of the share to what the customer asks for.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -111,6 +111,13 @@
   PromptPrefix,
   PromptBlock,
 } from './prefix_locations.js';
+export {addCustomerRows, createCustomerShares} from './customer_shares.js';
+export type {
+  CustomerRow,
+  CustomerShares,
+  CustomerSharesOptions,
+  ShareRequest,
+} from './customer_shares.js';
 export {createRepeatBudget} from './repeat_budget.js';
 export type {FleetRepeatBudget, RepeatBudget} from './repeat_budget.js';
 export {ServerOutcome, createServerOutcomes} from './server_outcomes.js';
