feat(gateway): sums of customers in gossip, while capacity is scarce

Cause: an instance of 73 sees one request in 73 of a customer and cannot divide capacity by that. Ruled out: reports of each instance to all others; the publishers of the groups sum them as they do for the loads of servers. Change: element 17 of the message row, customerNews, left out unless capacity is scarce; element 16 stays empty for announcements of shortages.

--- a/packages/gateway/__tests__/support/gossip_fleet.ts
+++ b/packages/gateway/__tests__/support/gossip_fleet.ts
@@ -15,6 +15,7 @@
   GossipDatagram,
   GossipState,
 } from '../../src/peers/message_builder.js';
+import type {CustomerSums} from '../../src/state/customer_sums.js';
 import {createServerLoads} from '../../src/state/server_loads.js';
 import type {ServerLoads} from '../../src/state/server_loads.js';
 
@@ -26,6 +27,8 @@
   seed?: number;
   /** Describes the cluster state of an instance. */
   describeState?: (instance: FleetInstance, now: number) => GossipState;
+  /** Creates the sums of customers of an instance; none if missing. */
+  createCustomers?: (instance: FleetInstance) => CustomerSums;
   /** Called for each accepted message. */
   onMessage?: (
     receiver: FleetInstance,
@@ -83,6 +86,7 @@
     digest: 1,
     confirmedAgeMs: time - instance.confirmedAt,
   }),
+  createCustomers,
   onMessage,
   onTick,
 }: GossipFleetOptions): GossipFleet {
@@ -131,6 +135,7 @@
       loads: instance.loads,
       locations: instance.locations,
       quarantine: instance.quarantine,
+      ...(createCustomers ? {customers: createCustomers(instance)} : {}),
       random: nextFloat,
     });
     starts.set(instance, now + Math.floor(nextFloat() * GOSSIP_ROUND_MS));
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -10,6 +10,8 @@
 } from '@buckthornbeam/membership';
 import {z} from 'zod';
 import type {LoadReport, LoadRow} from '../state/server_loads.js';
+import {decodeCustomerNews, encodeCustomerNews} from './customer_news.js';
+import type {RankNews} from './customer_news.js';
 import {decodeLimitNews, encodeLimitNews} from './limit_news.js';
 import type {LimitNews} from './limit_news.js';
 
@@ -58,6 +60,8 @@
   quarantineNews: readonly number[];
   /** What servers stated about their request rate. */
   limitNews: readonly LimitNews[];
+  /** What customers asked for and got; absent unless capacity is scarce. */
+  customerNews?: readonly RankNews[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -144,6 +148,7 @@
       knownHashes: decodeIntegers(row[13]),
       quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
+      ...(row[17]?.length ? {customerNews: decodeCustomerNews(row[17])} : {}),
     }),
   );
 
@@ -272,6 +277,9 @@
   const columns = [
     encodeIntegers(message.quarantineNews),
     encodeLimitNews(message.limitNews),
+    // Element 16 is reserved for announcements of shortages.
+    new Uint8Array(),
+    encodeCustomerNews(message.customerNews ?? []),
   ];
   const last = columns.findLastIndex(column => column.length > 0);
   return columns.slice(0, last + 1);
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -15,6 +15,7 @@
   GossipTable,
   LivenessEntry,
 } from '@buckthornbeam/membership';
+import type {CustomerSums} from '../state/customer_sums.js';
 import type {ServerLoads} from '../state/server_loads.js';
 import {GossipKind} from './gossip_message.js';
 import type {GossipEnvelope, GossipMessage} from './gossip_message.js';
@@ -40,6 +41,8 @@
   locations: PrefixLocations;
   quarantine: Pick<PromptQuarantine, 'acceptNews' | 'takeNews' | 'list'>;
   limits?: LimitExchange;
+  /** What customers asked for and got, while capacity is scarce. */
+  customers?: CustomerSums;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -120,7 +123,7 @@
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
-  const {limits = NO_LIMITS} = options;
+  const {limits = NO_LIMITS, customers} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -182,6 +185,7 @@
       liveness: isListDue ? listLiveness(view.listPeers(now), now) : [],
       ...addEntries(relays.takeForGroups(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
+      customerNews: customers?.buildGroupSum(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -210,6 +214,7 @@
       silentHashes: table.listSilent(now),
       ...addEntries(relays.takeForMembers(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
+      customerNews: customers?.buildTotals(now) ?? [],
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -238,6 +243,7 @@
       cacheLocations: locations.takeUpdates(),
       quarantineNews: encodeNews(ownNews.take(), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
+      customerNews: customers?.buildReport(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -276,6 +282,7 @@
     const datagrams = records.startRound(now);
     if (isPublishing) {
       loads.dropTotals();
+      customers?.dropTotals();
       datagrams.push(...buildGroupSum(now), ...buildTotals(now));
     }
     // Alone in its view of the group, an instance publishes for itself.
@@ -324,6 +331,8 @@
       role.recordReport(now);
       if (message.groupKey === view.getOwnKey()) {
         loads.receiveReport(sender.instanceId, message.loadReport, now);
+        const news = message.customerNews ?? [];
+        customers?.receiveReport(sender.instanceId, news, now);
       }
       const learned = acceptContent(message, now);
       if (role.isPublishing(now)) {
@@ -334,6 +343,8 @@
     [GossipKind.GROUP_SUM]: (message, changedIds, now) => {
       if (view.hasOther(message.groupKey)) {
         loads.receiveGroupSum(message.groupKey, message.loadReport, now);
+        const news = message.customerNews ?? [];
+        customers?.receiveGroupSum(message.groupKey, news, now);
       }
       return acceptPublished(message, changedIds, now);
     },
@@ -342,6 +353,7 @@
       publishedConfirmationAt = now - message.confirmedAgeMs;
       if (!role.isPublishing(now)) {
         loads.receiveTotals(message.loadReport, now);
+        customers?.receiveTotals(message.customerNews ?? [], now);
       }
       if (
         message.memberDigest === table.computeDigest(messages.getSelfHash())
@@ -404,6 +416,7 @@
     isPublishing: () => role.wasPublishing(),
     clearReceived: now => {
       loads.clearReceived();
+      customers?.clearReceived();
       view.reset(now);
     },
   };
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -6,6 +6,7 @@
 import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {ClusterState} from '../state/cluster_state.js';
+import type {CustomerSums} from '../state/customer_sums.js';
 import type {ServerLoads} from '../state/server_loads.js';
 import type {PauseDetector} from '../state/pause_detector.js';
 import {createSuspensionDetector} from '../state/suspension.js';
@@ -24,6 +25,7 @@
   locations: PrefixLocations;
   quarantine: PromptQuarantine;
   limits?: LimitExchange;
+  customers?: CustomerSums;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
@@ -92,6 +94,7 @@
     locations: options.locations,
     quarantine: options.quarantine,
     ...(options.limits ? {limits: options.limits} : {}),
+    ...(options.customers ? {customers: options.customers} : {}),
     random,
   });
   const {table} = node;
