feat(gateway): refuse customers over their share of scarce capacity

Cause: the gateway had no limit by customer, so that one customer could take the capacity of a rank. Change: with admission.customerShares on, a request is checked once before a server is selected; 503 overloaded with a Retry-After from the time at which the customer is within its share, jittered. Log field overShare, metrics of refusals by customer and of scarce ranks.

--- a/packages/gateway/__tests__/support/relay_fixture.ts
+++ b/packages/gateway/__tests__/support/relay_fixture.ts
@@ -10,6 +10,7 @@
 import {relayRequest} from '../../src/relay/request_relay.js';
 import type {RelayReport} from '../../src/relay/request_relay.js';
 import {createServerConnections} from '../../src/relay/server_connections.js';
+import type {CustomerAdmission} from '../../src/state/customer_admission.js';
 import {createRepeatBudgets} from '../../src/state/repeat_budgets.js';
 import {createServerActivity} from '../../src/state/server_activity.js';
 import {createServerLoads} from '../../src/state/server_loads.js';
@@ -144,6 +145,7 @@
   /** Addresses by server id; servers are selected in this order. */
   addresses: Readonly<Record<string, string>>;
   route?: Partial<Route>;
+  customers?: CustomerAdmission;
 }
 
 export interface RelayFixture {
@@ -188,6 +190,7 @@
     connections,
     selection,
     activity,
+    customers: options.customers,
     budgets: createRepeatBudgets({
       fleet: {ratio: 0, extra: 10_000, windowMs: 10_000},
       countInstances: () => 1,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import {createServerConnections} from './relay/server_connections.js';
 import {createServerProbe} from './relay/server_probe.js';
 import type {GatewaySettings} from './settings.js';
+import {createCustomerAdmission} from './state/customer_admission.js';
 import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
 import {createPauseDetector} from './state/pause_detector.js';
@@ -200,6 +201,13 @@
   });
   const {quarantine} = quarantineGuard;
 
+  const customers =
+    settings.admission.customerShares === 'on'
+      ? createCustomerAdmission({
+          getConfiguration: () => clusterState.getConfiguration(),
+        })
+      : undefined;
+
   const gossip = createGossipTask({
     describeSelf: () => ({
       instanceId: settings.instanceId,
@@ -224,6 +232,7 @@
         }
       },
     },
+    ...(customers ? {customers: customers.sums} : {}),
     pauses,
     clock,
     logger,
@@ -249,6 +258,7 @@
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
+    countScarceRanks: () => customers?.countScarceRanks(clock.now()) ?? 0,
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
@@ -316,6 +326,7 @@
       selection,
       activity,
       budgets: repeatBudgets,
+      customers,
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
       quarantine: quarantineGuard,
       random: Math.random,
--- a/packages/gateway/src/http/request_log.ts
+++ b/packages/gateway/src/http/request_log.ts
@@ -93,6 +93,7 @@
     sentMs: report?.sentMs.map(ms => Math.round(ms)).join(','),
     connections: report?.connections.join(','),
     diverted: report?.isDiverted || undefined,
+    overShare: report?.isOverShare || undefined,
     firstByteMs: report?.firstByteMs && Math.round(report.firstByteMs),
     totalMs: Math.round(now - log.receivedAt),
     deadlineMs: log.metadata?.deadlineMs,
@@ -132,6 +133,9 @@
   if (report?.isDiverted) {
     metrics.countDiverted();
   }
+  if (report?.isOverShare && log.customer !== undefined) {
+    metrics.countShareRefusal(log.customer);
+  }
   if (report?.firstByteMs !== undefined) {
     metrics.observeFirstByte(route, report.firstByteMs);
   }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,8 @@
   countAttempt(reason: string): void;
   /** Counts a request sent elsewhere, since the rate of a server is used up. */
   countDiverted(): void;
+  /** Counts a request refused since its customer was over its share. */
+  countShareRefusal(customer: string): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
   countStoreRead(isSuccess: boolean): void;
@@ -28,6 +30,8 @@
   countPeers: () => number;
   countQuarantined: () => number;
   countLimitedServers: () => number;
+  /** Counts the ranks whose capacity is divided between customers. */
+  countScarceRanks?: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -71,6 +75,12 @@
     help: 'Requests sent elsewhere since the limited rate of a server was used up.',
     registers,
   });
+  const shareRefusals = new Counter({
+    name: 'buckthornbeam_share_refusals_total',
+    help: 'Requests refused since their customer was over its share, by customer.',
+    labelNames: ['customer'],
+    registers,
+  });
   const connections = new Counter({
     name: 'buckthornbeam_server_connections_total',
     help: 'Connections opened to backend servers.',
@@ -115,6 +125,11 @@
       'Servers that state a limit of their request rate.',
       sources.countLimitedServers,
     ],
+    [
+      'buckthornbeam_scarce_ranks',
+      'Ranks of services whose capacity is divided between customers.',
+      sources.countScarceRanks ?? (() => 0),
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
@@ -139,6 +154,7 @@
       duration.observe({route}, ms / MS_PER_SECOND),
     countAttempt: reason => attempts.inc({reason}),
     countDiverted: () => diverted.inc(),
+    countShareRefusal: customer => shareRefusals.inc({customer}),
     countConnection: () => connections.inc(),
     countStoreRead: isSuccess =>
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -10,6 +10,7 @@
 import {RouteKind} from '../model.js';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
+import type {CustomerAdmission} from '../state/customer_admission.js';
 import type {RequestUrgency} from '../state/request_urgency.js';
 import type {RepeatBudgets} from '../state/repeat_budgets.js';
 import type {ServerActivity} from '../state/server_activity.js';
@@ -26,7 +27,7 @@
 import type {AttemptTracker} from './prompt_tracker.js';
 import type {QuarantineGuard} from './quarantine_guard.js';
 import {isRepeatable} from './repeatable.js';
-import {computeRetryAfter} from './retry_after.js';
+import {computeRetryAfter, computeShareRetryAfter} from './retry_after.js';
 import {waitForServer} from './server_wait.js';
 import type {ServerConnections} from './server_connections.js';
 
@@ -38,6 +39,8 @@
   selection: ServerSelection;
   activity: ServerActivity;
   budgets: RepeatBudgets;
+  /** Divides scarce capacity between customers; undefined if that is off. */
+  customers?: CustomerAdmission | undefined;
   /** Largest answer that is buffered, in bytes. */
   maximumAnswerBytes: number;
   quarantine: QuarantineGuard;
@@ -76,6 +79,8 @@
   placement: EnginePlacement | undefined;
   /** Whether servers were left out since their rate of requests is used up. */
   isDiverted: boolean;
+  /** Whether it was refused since its customer was over its share. */
+  isOverShare?: boolean;
   /** Time until the first event or the complete answer, in milliseconds. */
   firstByteMs: number | undefined;
   error: RouterError | undefined;
@@ -100,7 +105,7 @@
   answer: CallerAnswer,
   context: RelayContext,
 ): Promise<RelayReport> {
-  const {clock, selection, activity, budgets, stopSignal} = context;
+  const {clock, selection, activity, budgets, customers, stopSignal} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
   const timeLimitMs = Math.min(
@@ -203,7 +208,13 @@
       metadata,
       excluded: new Set([...excluded, ...slowServers]),
       buildLimits,
-      select: (limits, now) => selectServer(excluded, limits, now),
+      select: (limits, now) => {
+        const selected = selectServer(excluded, limits, now);
+        if (!selected) {
+          customers?.recordShortage(request, now);
+        }
+        return selected;
+      },
       deadlineAt,
       clock,
       disconnectSignal,
@@ -439,8 +450,32 @@
     );
   }
 
+  /** Refuses a request that has not run if its customer is over its share. */
+  function checkShare(): RouterError | undefined {
+    const refusal = customers?.check(request, clock.now());
+    if (!refusal) {
+      return undefined;
+    }
+    report.isOverShare = true;
+    return new RouterError(
+      'overloaded',
+      'the customer is over its share of the capacity',
+      {
+        retryAfterMs: computeShareRetryAfter({
+          remainingMs: Math.max(0, deadlineAt - clock.now()),
+          availableInMs: refusal.availableInMs,
+          random: context.random,
+        }),
+      },
+    );
+  }
+
   async function runAttempts(): Promise<RouterError | undefined> {
     budgets.recordRequest(route, clock.now());
+    const refusal = checkShare();
+    if (refusal) {
+      return refusal;
+    }
     for (;;) {
       if (disconnectSignal.aborted) {
         return new RouterError('cancelled', 'the caller disconnected');
@@ -462,6 +497,9 @@
         selected.requestHandle.end();
         return buildQuarantineError();
       }
+      if (report.servers.length === 0) {
+        customers?.recordService(request, clock.now());
+      }
       const result = await runAttempt(selected);
       if (result.reason === QUARANTINED_REASON) {
         possibleRuns += 1;
--- a/packages/gateway/src/relay/retry_after.ts
+++ b/packages/gateway/src/relay/retry_after.ts
@@ -10,6 +10,10 @@
   random: () => number;
 }
 
+/** Shortest delay of a customer that is over its share. */
+const MINIMUM_SHARE_DELAY_MS = 100;
+/** Part of a delay that is random, so that callers do not return together. */
+const SHARE_SPREAD_RATIO = 0.25;
 /** Callers honour a delay of up to a third of the time until their deadline. */
 const HONOURED_RATIO = 0.33;
 /**
@@ -36,3 +40,22 @@
   const knownMs = Number.isFinite(availableInMs) ? availableInMs : 0;
   return Math.round(Math.max(longestMs * ratio, knownMs));
 }
+
+/**
+ * Returns the delay in milliseconds after which a customer is within its share again,
+ * as far as callers honour it.
+ */
+export function computeShareRetryAfter({
+  remainingMs,
+  availableInMs = 0,
+  random,
+}: RetryAfterOptions): number {
+  const wantedMs = Math.max(MINIMUM_SHARE_DELAY_MS, availableInMs);
+  const longestMs = remainingMs * HONOURED_RATIO;
+  return Math.round(
+    Math.min(
+      wantedMs * (1 + SHARE_SPREAD_RATIO * random()),
+      longestMs * (1 - SHARE_SPREAD_RATIO * random()),
+    ),
+  );
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -101,6 +101,12 @@
       maximumHeldBytes: z.number().int().positive().default(48_000_000),
     })
     .prefault({}),
+  admission: z
+    .object({
+      /** Whether scarce capacity is divided between customers. */
+      customerShares: z.enum(['off', 'on']).default('off'),
+    })
+    .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
 });
 
