--- a/packages/decisions/__tests__/customer_shares.spec.ts
+++ b/packages/decisions/__tests__/customer_shares.spec.ts
@@ -39,7 +39,7 @@
 
 describe('shares of customers', () => {
   for (const instances of FLEETS) {
-    describe(`with ${instances} instances and sums 300 ms old`, () => {
+    describe(`with ${instances} instances and sums 500 to 750 ms old`, () => {
       it('keep the others whole beside a large customer at 7.5 times its usual load', () => {
         const result = runShareFleet({
           instances,
@@ -87,6 +87,16 @@
         );
       });
 
+      it('starve none when one customer surges and all retry at once', () => {
+        assertNoneStarved(
+          runShareFleet({
+            instances,
+            computeFactor: customer => (customer === SMALL ? 7.5 : 3),
+            isImpatient: () => true,
+          }),
+        );
+      });
+
       it('starve none when one customer and the heaviest class surge', () => {
         assertNoneStarved(
           runShareFleet({
--- a/packages/decisions/__tests__/support/share_fleet.ts
+++ b/packages/decisions/__tests__/support/share_fleet.ts
@@ -13,7 +13,7 @@
 
 export interface ShareFleetOptions {
   instances?: number;
-  /** Sums are this old when the other instances use them; Infinity without news. */
+  /** Sums reach others in the first round of 250 ms after this time; Infinity without news. */
   newsAgeMs?: number;
   /** Usual load of all customers, as a ratio of the capacity. */
   usualRatio?: number;
