--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -49,6 +49,7 @@
     assert.is(settings.keys.failClosed, true);
     assert.is(settings.stop.graceMs, 8000);
     assert.is(settings.engines.spreading, 'off');
+    assert.is(settings.admission.customerShares, 'off');
   });
 
   it('of spreading are off or even', () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {createServerProbe} from './relay/server_probe.js';
 import type {GatewaySettings} from './settings.js';
 import {createFaultTracker} from './state/fault_tracker.js';
+import {createCustomerAdmission} from './state/customer_admission.js';
 import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
 import {createPauseDetector} from './state/pause_detector.js';
@@ -207,6 +208,13 @@
   });
   const {quarantine} = quarantineGuard;
 
+  const customers =
+    settings.admission.customerShares === 'on'
+      ? createCustomerAdmission({
+          getConfiguration: () => clusterState.getConfiguration(),
+        })
+      : undefined;
+
   const gossip = createGossipTask({
     describeSelf: () => ({
       instanceId: settings.instanceId,
@@ -232,6 +240,7 @@
         }
       },
     },
+    ...(customers ? {customers: customers.sums} : {}),
     pauses,
     clock,
     logger,
@@ -259,6 +268,7 @@
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
     countFaultyServers: () => faults?.countFaulty() ?? 0,
     countPausedServers: () => statements.count(StatementKind.PAUSE),
+    countScarceRanks: () => customers?.countScarceRanks(clock.now()) ?? 0,
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
 
@@ -328,6 +338,7 @@
       selection,
       activity,
       budgets: repeatBudgets,
+      customers,
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
       quarantine: quarantineGuard,
       random: Math.random,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -15,6 +15,8 @@
   observeLoadAge(ms: number): void;
   /** Observes the mean error of earlier reports, in requests at a server. */
   observeLoadError(requests: number): void;
+  /** Counts a request refused since its customer was over its share. */
+  countShareRefusal(customer: string): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
   countStoreRead(isSuccess: boolean): void;
@@ -35,6 +37,8 @@
   /** Absent if faults are not counted. */
   countFaultyServers?: () => number;
   countPausedServers: () => number;
+  /** Counts the ranks whose capacity is divided between customers. */
+  countScarceRanks?: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -94,6 +98,12 @@
     buckets: LOAD_ERROR_BUCKETS,
     registers,
   });
+  const shareRefusals = new Counter({
+    name: 'buckthornbeam_share_refusals_total',
+    help: 'Requests refused since their customer was over its share, by customer.',
+    labelNames: ['customer'],
+    registers,
+  });
   const connections = new Counter({
     name: 'buckthornbeam_server_connections_total',
     help: 'Connections opened to backend servers.',
@@ -148,6 +158,11 @@
       'Servers that asked this instance to be sent nothing for a time.',
       sources.countPausedServers,
     ],
+    [
+      'buckthornbeam_scarce_ranks',
+      'Ranks of services whose capacity is divided between customers.',
+      sources.countScarceRanks ?? (() => 0),
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
@@ -174,6 +189,7 @@
     countDiverted: () => diverted.inc(),
     observeLoadAge: ms => loadAge.observe(ms / MS_PER_SECOND),
     observeLoadError: requests => loadError.observe(requests),
+    countShareRefusal: customer => shareRefusals.inc({customer}),
     countConnection: () => connections.inc(),
     countStoreRead: isSuccess =>
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -11,6 +11,8 @@
 import {z} from 'zod';
 import {FAULT_VALUES} from '../state/fault_tracker.js';
 import type {LoadReport, LoadRow} from '../state/server_loads.js';
+import {decodeCustomerNews, encodeCustomerNews} from './customer_news.js';
+import type {RankNews} from './customer_news.js';
 import {decodeLimitNews, encodeLimitNews} from './limit_news.js';
 import {decodeSums, encodeSums} from './fleet_sums.js';
 import type {SumRow} from './fleet_sums.js';
@@ -63,6 +65,8 @@
   limitNews: readonly LimitNews[];
   /** Recent faults and answers by server. */
   faultSums: readonly SumRow[];
+  /** What customers asked for and got; absent unless capacity is scarce. */
+  customerNews?: readonly RankNews[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -150,6 +154,7 @@
       quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
       faultSums: decodeSums(row[18] ?? new Uint8Array(), FAULT_VALUES),
+      ...(row[17]?.length ? {customerNews: decodeCustomerNews(row[17])} : {}),
     }),
   );
 
@@ -279,8 +284,9 @@
   const columns = [
     encodeIntegers(message.quarantineNews),
     encodeLimitNews(message.limitNews),
+    // Element 16 is reserved for announcements of shortages.
     NO_BYTES,
-    NO_BYTES,
+    encodeCustomerNews(message.customerNews ?? []),
     encodeSums(message.faultSums),
   ];
   const last = columns.findLastIndex(column => column.length > 0);
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -15,6 +15,7 @@
   GossipTable,
   LivenessEntry,
 } from '@buckthornbeam/membership';
+import type {CustomerSums} from '../state/customer_sums.js';
 import type {ServerLoads} from '../state/server_loads.js';
 import {GossipKind} from './gossip_message.js';
 import type {GossipEnvelope, GossipMessage} from './gossip_message.js';
@@ -43,6 +44,8 @@
   limits?: LimitExchange;
   /** Faults of servers; not exchanged if absent. */
   faults?: FleetSumExchange | undefined;
+  /** What customers asked for and got, while capacity is scarce. */
+  customers?: CustomerSums;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -123,7 +126,7 @@
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
-  const {limits = NO_LIMITS, faults} = options;
+  const {limits = NO_LIMITS, faults, customers} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -186,6 +189,7 @@
       ...addEntries(relays.takeForGroups(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
       faultSums: faults?.buildGroupSum(now) ?? [],
+      customerNews: customers?.buildGroupSum(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -215,6 +219,7 @@
       ...addEntries(relays.takeForMembers(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
       faultSums: faults?.buildTotals(now) ?? [],
+      customerNews: customers?.buildTotals(now) ?? [],
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -244,6 +249,7 @@
       quarantineNews: encodeNews(ownNews.take(), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
       faultSums: faults?.buildReport(now) ?? [],
+      customerNews: customers?.buildReport(now) ?? [],
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -282,6 +288,7 @@
     const datagrams = records.startRound(now);
     if (isPublishing) {
       loads.dropTotals();
+      customers?.dropTotals();
       datagrams.push(...buildGroupSum(now), ...buildTotals(now));
     }
     // Alone in its view of the group, an instance publishes for itself.
@@ -331,6 +338,8 @@
       if (message.groupKey === view.getOwnKey()) {
         loads.receiveReport(sender.instanceId, message.loadReport, now);
         faults?.receiveReport(sender.instanceId, message.faultSums, now);
+        const news = message.customerNews ?? [];
+        customers?.receiveReport(sender.instanceId, news, now);
       }
       const learned = acceptContent(message, now);
       if (role.isPublishing(now)) {
@@ -342,6 +351,8 @@
       if (view.hasOther(message.groupKey)) {
         loads.receiveGroupSum(message.groupKey, message.loadReport, now);
         faults?.receiveGroupSum(message.groupKey, message.faultSums, now);
+        const news = message.customerNews ?? [];
+        customers?.receiveGroupSum(message.groupKey, news, now);
       }
       return acceptPublished(message, changedIds, now);
     },
@@ -351,6 +362,7 @@
       if (!role.isPublishing(now)) {
         loads.receiveTotals(message.loadReport, now);
         faults?.receiveTotals(message.faultSums, now);
+        customers?.receiveTotals(message.customerNews ?? [], now);
       }
       if (
         message.memberDigest === table.computeDigest(messages.getSelfHash())
@@ -414,6 +426,7 @@
     clearReceived: now => {
       loads.clearReceived();
       faults?.clearReceived();
+      customers?.clearReceived();
       view.reset(now);
     },
   };
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -6,6 +6,7 @@
 import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
 import type {ClusterState} from '../state/cluster_state.js';
+import type {CustomerSums} from '../state/customer_sums.js';
 import type {ServerLoads} from '../state/server_loads.js';
 import type {PauseDetector} from '../state/pause_detector.js';
 import {createSuspensionDetector} from '../state/suspension.js';
@@ -27,6 +28,7 @@
   limits?: LimitExchange;
   /** Faults of servers; not exchanged if absent. */
   faults?: FleetSumExchange | undefined;
+  customers?: CustomerSums;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
@@ -96,6 +98,7 @@
     quarantine: options.quarantine,
     ...(options.limits ? {limits: options.limits} : {}),
     faults: options.faults,
+    ...(options.customers ? {customers: options.customers} : {}),
     random,
   });
   const {table} = node;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -110,6 +110,12 @@
       shared: z.boolean().default(false),
     })
     .prefault({}),
+  admission: z
+    .object({
+      /** Whether scarce capacity is divided between customers. */
+      customerShares: z.enum(['off', 'on']).default('off'),
+    })
+    .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
 });
 
