fix(gateway): a cut stream to a caller of HTTP/1.0 ends with a reset

Cause: to a caller of HTTP/1.0 a stream has neither chunks nor a length, so that the end of the connection is that of the answer. When the server's answer was cut, the connection was closed regularly, and the caller took the part for the whole.

Change: where the answer has no chunks the connection is reset. Callers of HTTP/1.1 see the missing last chunk, as before.

The tests of early answers gain this case, and a reset right after the data.

--- a/packages/gateway/__tests__/early_answer.spec.ts
+++ b/packages/gateway/__tests__/early_answer.spec.ts
@@ -39,7 +39,10 @@
   'after the upload': UPLOAD.length,
 };
 
+const RESET_AT_ONCE = 'a reset at once';
 const FOLLOWS: Readonly<Record<string, (socket: Socket) => void>> = {
+  // Read together with the data, which node:http takes for a regular end.
+  [RESET_AT_ONCE]: socket => socket.resetAndDestroy(),
   'a reset': socket => socket.resetAndDestroy(),
   'a close without reading on': socket => socket.destroy(),
   'an end, reading on': socket => {
@@ -85,8 +88,10 @@
     }
     const answerEarly = () => {
       socket.pause();
-      socket.write(EARLY_ANSWER);
-      setTimeout(() => FOLLOWS[follow]!(socket), FOLLOW_MS);
+      const delayMs = follow === RESET_AT_ONCE ? 0 : FOLLOW_MS;
+      socket.write(EARLY_ANSWER, () =>
+        setTimeout(() => FOLLOWS[follow]!(socket), delayMs),
+      );
     };
     readRequest(socket, answerEarly, readBytes);
   });
@@ -250,3 +255,33 @@
   await waitFor(FOLLOW_MS);
   socket.destroy();
 }
+
+describe('a stream that is cut, to a caller of HTTP/1.0', () => {
+  // Guards against a cut stream that looks complete: the end of the connection is that
+  // of the answer, so that only a reset tells them apart.
+  it('ends with a reset of the connection', async () => {
+    const server = await startEarlyServer(0, 'a reset');
+    const gateway = await startCallerGateway({
+      backendPort: server.port,
+      deadlineMs: DEADLINE_MS,
+      route: {kind: RouteKind.STREAM},
+    });
+    const socket = await openSocket(gateway.port);
+    let text = '';
+    socket.on('data', bytes => (text += bytes.toString()));
+    const end = new Promise<string>(resolve => {
+      socket.once('end', () => resolve('end'));
+      socket.once('error', error =>
+        resolve((error as NodeJS.ErrnoException).code ?? ''),
+      );
+    });
+    socket.write(
+      'POST /a/ HTTP/1.0\r\nHost: host\r\nContent-Length: 0\r\n\r\n',
+    );
+    const how = await end;
+    gateway.close();
+    server.close();
+    assert.match(text, EVENT);
+    assert.is(how, 'ECONNRESET');
+  });
+});
--- a/packages/gateway/src/relay/caller_answer.ts
+++ b/packages/gateway/src/relay/caller_answer.ts
@@ -106,6 +106,17 @@
     status = nextStatus;
   }
 
+  /**
+   * Closes the connection within an answer. Without chunks, as for a caller of HTTP/1.0,
+   * a regular end would make the answer look complete.
+   */
+  function closeTruncated(): void {
+    if (!response.chunkedEncoding) {
+      response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+  }
+
   return {
     get hasBegun() {
       return status !== 0;
@@ -130,7 +141,7 @@
     },
     sendError: error => {
       if (status !== 0) {
-        response.destroy();
+        closeTruncated();
         return;
       }
       const body = encodeError(error);
