refactor(gateway): Retry-After of servers is read in the gateway package

Change: Retry-After is a standard header; gateway/relay/pause_request reads it, and the decimal numbers of limits, for the adapter.

After: boundary, decoding and pausing_server pass (118).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,6 +31,7 @@
 export type {GossipNode, GossipNodeOptions} from './peers/gossip_node.js';
 export type {GossipDatagram} from './peers/message_builder.js';
 export {selectEndToEnd} from './relay/caller_answer.js';
+export {parseDecimals, readPauseMs} from './relay/pause_request.js';
 export {getUrgencyRanks} from './state/request_urgency.js';
 export type {RequestUrgency, UrgencyRanks} from './state/request_urgency.js';
 export type {TrackedServer} from './state/server_entries.js';
