feat(decisions): shortages, reserve, headroom and returns of the order by urgency

Cause: waiting requests of several instances have no common order, so that less urgent ones take the capacity that urgent ones wait for. Modules without I/O: which ranks lacked capacity lately on any instance (room_shortage, isScarce for the shares of customers), the part of the capacity that lower ranks keep (rank_reserve), the backlog that they may build up after a shortage (rank_headroom), and when refused requests return (capacity_return).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -141,3 +141,15 @@
 export type {UnseenLoadOptions} from './unseen_load.js';
 export {createUpdateQueue} from './update_queue.js';
 export type {UpdateQueue, UpdateQueueOptions} from './update_queue.js';
+export {SHORTAGE_EXPIRY_MS, createRoomShortages} from './room_shortage.js';
+export type {RoomShortages, ShortageNews} from './room_shortage.js';
+export {createRankHeadroom} from './rank_headroom.js';
+export type {RankHeadroom} from './rank_headroom.js';
+export {createRankReserve} from './rank_reserve.js';
+export type {RankReserve, RankReserveOptions} from './rank_reserve.js';
+export {createCapacityReturns} from './capacity_return.js';
+export type {
+  CapacityReturnOptions,
+  CapacityReturns,
+  RefusedRequest,
+} from './capacity_return.js';
