feat(gateway): news of shortages in gossip messages

Element 16 of the message row, 8 bytes for each service and rank, only while there is a shortage. News are replaced by the next message of their sender, expire a second after the refusal that they come from, and are passed on twice at most, as those of limits. An instance with a shortage reports to its publisher in each round.

The fixtures of two tests get the new field.

--- a/packages/gateway/__tests__/gossip_task.spec.ts
+++ b/packages/gateway/__tests__/gossip_task.spec.ts
@@ -55,6 +55,7 @@
       knownHashes: [],
       quarantineNews: [],
       limitNews: [],
+      shortageNews: [],
     },
     forwardTo: [],
     hopDigest: 1,
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -156,6 +156,7 @@
     knownHashes: [],
     quarantineNews: [],
     limitNews: [],
+    shortageNews: [],
   };
 
   it('are decoded as encoded, an infinite age as a large one', () => {
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -3,6 +3,7 @@
  * which lists of numbers are packed columns, since messages are frequent.
  */
 import {decode, encode} from '@msgpack/msgpack';
+import type {ShortageNews} from '@buckthornbeam/decisions';
 import type {
   GossipRecord,
   LivenessEntry,
@@ -12,6 +13,7 @@
 import type {LoadReport, LoadRow} from '../state/server_loads.js';
 import {decodeLimitNews, encodeLimitNews} from './limit_news.js';
 import type {LimitNews} from './limit_news.js';
+import {decodeShortageNews, encodeShortageNews} from './shortage_news.js';
 
 /** What the receiver does with a message. */
 export const GossipKind = {
@@ -58,6 +60,8 @@
   quarantineNews: readonly number[];
   /** What servers stated about their request rate. */
   limitNews: readonly LimitNews[];
+  /** Services that lack capacity. */
+  shortageNews: readonly ShortageNews[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -144,6 +148,7 @@
       knownHashes: decodeIntegers(row[13]),
       quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
+      shortageNews: decodeShortageNews(row[16] ?? new Uint8Array()),
     }),
   );
 
@@ -272,6 +277,7 @@
   const columns = [
     encodeIntegers(message.quarantineNews),
     encodeLimitNews(message.limitNews),
+    encodeShortageNews(message.shortageNews),
   ];
   const last = columns.findLastIndex(column => column.length > 0);
   return columns.slice(0, last + 1);
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -2,11 +2,12 @@
  * Gossip of one instance without I/O: the caller passes in received messages and
  * the time, and sends what is returned. docs/design/gossip.md describes it.
  */
-import {createUpdateQueue} from '@buckthornbeam/decisions';
+import {createRoomShortages, createUpdateQueue} from '@buckthornbeam/decisions';
 import type {
   PrefixLocations,
   PromptQuarantine,
   QuarantineNews,
+  RoomShortages,
 } from '@buckthornbeam/decisions';
 import {createGossipTable} from '@buckthornbeam/membership';
 import type {
@@ -40,6 +41,7 @@
   locations: PrefixLocations;
   quarantine: Pick<PromptQuarantine, 'acceptNews' | 'takeNews' | 'list'>;
   limits?: LimitExchange;
+  shortages?: Pick<RoomShortages, 'listNews' | 'acceptNews'>;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -120,7 +122,7 @@
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
-  const {limits = NO_LIMITS} = options;
+  const {limits = NO_LIMITS, shortages = createRoomShortages()} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -145,6 +147,7 @@
   /** Change of the load, and own state hash, in the last report. */
   let reportedChange = -1;
   let reportedSelfHash = -1;
+  let hasReportedShortage = false;
   /** When the state in the last totals was confirmed, in local time. */
   let publishedConfirmationAt = -Infinity;
 
@@ -182,6 +185,7 @@
       liveness: isListDue ? listLiveness(view.listPeers(now), now) : [],
       ...addEntries(relays.takeForGroups(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
+      shortageNews: shortages.listNews(now, MAXIMUM_HOPS.GROUP_SUM),
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -210,6 +214,7 @@
       silentHashes: table.listSilent(now),
       ...addEntries(relays.takeForMembers(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
+      shortageNews: shortages.listNews(now, MAXIMUM_HOPS.TOTALS),
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -232,12 +237,15 @@
     reportedAt = now;
     reportedChange = loads.getChangeCount();
     reportedSelfHash = messages.getSelfHash();
+    const shortageNews = shortages.listNews(now, MAXIMUM_HOPS.REPORT);
+    hasReportedShortage = shortageNews.length > 0;
     const message = messages.build(GossipKind.REPORT, now, {
       groupKey: view.getOwnKey(),
       loadReport: loads.buildReport(now),
       cacheLocations: locations.takeUpdates(),
       quarantineNews: encodeNews(ownNews.take(), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
+      shortageNews,
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -253,6 +261,9 @@
       loads.getChangeCount() !== reportedChange ||
       messages.getSelfHash() !== reportedSelfHash ||
       !ownNews.isEmpty() ||
+      // After its end, one report without a shortage replaces the last.
+      hasReportedShortage ||
+      shortages.listNews(now, MAXIMUM_HOPS.REPORT).length > 0 ||
       confirmedAt > publishedConfirmationAt + NEWER_STATE_MS
     );
   }
@@ -293,6 +304,7 @@
   ) => GossipDatagram[];
 
   function acceptContent(message: GossipMessage, now: number): LearnedContent {
+    shortages.acceptNews(message.sender.instanceId, message.shortageNews, now);
     if (message.limitNews.length > 0) {
       limits.acceptNews(message.limitNews, now);
     }
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -1,7 +1,11 @@
 /** Sends and receives gossip messages over a UDP socket. */
 import {createSocket} from 'node:dgram';
 import type {RemoteInfo} from 'node:dgram';
-import type {PrefixLocations, PromptQuarantine} from '@buckthornbeam/decisions';
+import type {
+  PrefixLocations,
+  PromptQuarantine,
+  RoomShortages,
+} from '@buckthornbeam/decisions';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
 import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
@@ -24,6 +28,7 @@
   locations: PrefixLocations;
   quarantine: PromptQuarantine;
   limits?: LimitExchange;
+  shortages?: RoomShortages;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
@@ -92,6 +97,7 @@
     locations: options.locations,
     quarantine: options.quarantine,
     ...(options.limits ? {limits: options.limits} : {}),
+    ...(options.shortages ? {shortages: options.shortages} : {}),
     random,
   });
   const {table} = node;
--- a/packages/gateway/src/peers/message_builder.ts
+++ b/packages/gateway/src/peers/message_builder.ts
@@ -88,6 +88,7 @@
         knownHashes: [],
         quarantineNews: [],
         limitNews: [],
+        shortageNews: [],
         ...content,
       };
     },
