feat(gateway): waiting requests take capacity in the order of urgency

Cause: waiting requests poll for capacity for a quarter of their target, so that those with a long target get it. With admission.order=urgency, one queue of an instance gives free capacity to the most urgent request, then to the first; the wait follows from the deadline, ends early where it cannot help, and less urgent requests are held back by fresh shortages of all instances apart from a reserve.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,9 @@
 /** Wires up a router instance that forwards requests directly to backend servers. */
-import {StatementKind, createPrefixLocations} from '@buckthornbeam/decisions';
+import {
+  StatementKind,
+  createPrefixLocations,
+  createRoomShortages,
+} from '@buckthornbeam/decisions';
 import {
   createLogger,
   createSystemClock,
@@ -20,6 +24,8 @@
 import {createGossipTask} from './peers/gossip_task.js';
 import {createClusterStateExchange} from './peers/cluster_state_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
+import {createAdmission} from './relay/admission.js';
+import {AdmissionOrder} from './relay/admission_reason.js';
 import {createQuarantineGuard} from './relay/quarantine_guard.js';
 import {createServerConnections} from './relay/server_connections.js';
 import {createServerProbe} from './relay/server_probe.js';
@@ -104,6 +110,7 @@
   const loads = createServerLoads({onChange: () => gossip.reportChange()});
   const activity = createServerActivity();
   const locations = createPrefixLocations();
+  const shortages = createRoomShortages();
   let isStopping = false;
   let stopped: Promise<void> | undefined;
   let maintenanceTimer: NodeJS.Timeout | undefined;
@@ -224,6 +231,7 @@
         }
       },
     },
+    shortages,
     pauses,
     clock,
     logger,
@@ -248,6 +256,7 @@
       clusterState.getConfiguration()?.version ?? 0,
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
+    countWaitingRequests: () => admission?.countWaiting() ?? 0,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
   });
@@ -277,6 +286,18 @@
     statements,
   });
 
+  const admission =
+    settings.admission.order === AdmissionOrder.URGENCY
+      ? createAdmission({
+          clusterState,
+          shortages,
+          prefillTokensPerMs: settings.engines.readingTokensPerMs,
+          clock,
+          onWaitEnd: ({reason, selected}) =>
+            metrics.countWait(reason, selected !== undefined),
+        })
+      : undefined;
+
   const repeatBudgets = createRepeatBudgets({
     fleet: {
       ratio: settings.repeats.ratio,
@@ -319,6 +340,7 @@
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
       quarantine: quarantineGuard,
       random: Math.random,
+      ...(admission ? {admission} : {}),
     },
     grantAccess,
     getLimits: () => clusterState.getConfiguration()?.limits,
--- a/packages/gateway/src/http/request_log.ts
+++ b/packages/gateway/src/http/request_log.ts
@@ -3,7 +3,7 @@
 import type {LogFields, RouterError} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
 import type {RequestMetadata} from '../model.js';
-import type {RelayReport} from '../relay/request_relay.js';
+import type {RelayReport} from '../relay/relay_report.js';
 
 /** What is known of a request so far. */
 export interface RequestLog {
@@ -93,6 +93,8 @@
     sentMs: report?.sentMs.map(ms => Math.round(ms)).join(','),
     connections: report?.connections.join(','),
     diverted: report?.isDiverted || undefined,
+    waitedMs: report?.waitedMs && Math.round(report.waitedMs),
+    waitReason: report?.waitReason,
     firstByteMs: report?.firstByteMs && Math.round(report.firstByteMs),
     totalMs: Math.round(now - log.receivedAt),
     deadlineMs: log.metadata?.deadlineMs,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,8 @@
   countAttempt(reason: string): void;
   /** Counts a request sent elsewhere, since the rate of a server is used up. */
   countDiverted(): void;
+  /** Counts a wait for a server by urgency. */
+  countWait(reason: string, isServed: boolean): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
   countStoreRead(isSuccess: boolean): void;
@@ -28,6 +30,7 @@
   countPeers: () => number;
   countQuarantined: () => number;
   countLimitedServers: () => number;
+  countWaitingRequests?: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -71,6 +74,12 @@
     help: 'Requests sent elsewhere since the limited rate of a server was used up.',
     registers,
   });
+  const waits = new Counter({
+    name: 'buckthornbeam_admissions_total',
+    help: 'Requests in the order by urgency, by what they waited for and whether they got a server.',
+    labelNames: ['reason', 'result'],
+    registers,
+  });
   const connections = new Counter({
     name: 'buckthornbeam_server_connections_total',
     help: 'Connections opened to backend servers.',
@@ -115,6 +124,11 @@
       'Servers that state a limit of their request rate.',
       sources.countLimitedServers,
     ],
+    [
+      'buckthornbeam_waiting_requests',
+      'Requests that wait for a server by urgency.',
+      sources.countWaitingRequests ?? (() => 0),
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
@@ -139,6 +153,8 @@
       duration.observe({route}, ms / MS_PER_SECOND),
     countAttempt: reason => attempts.inc({reason}),
     countDiverted: () => diverted.inc(),
+    countWait: (reason, isServed) =>
+      waits.inc({reason, result: isServed ? 'served' : 'refused'}),
     countConnection: () => connections.inc(),
     countStoreRead: isSuccess =>
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -4,7 +4,6 @@
  * deadline and the repeat budget allow.
  */
 import {ServerOutcome} from '@buckthornbeam/decisions';
-import type {EnginePlacement} from '@buckthornbeam/decisions';
 import {Outcome, RouterError} from '@buckthornbeam/shared';
 import type {Clock} from '@buckthornbeam/shared';
 import {RouteKind} from '../model.js';
@@ -20,16 +19,27 @@
 } from '../state/server_selection.js';
 import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
 import type {AttemptResult, StreamSink} from './attempt.js';
-import {INTERRUPTED_REASON, watchAttempt} from './attempt_watch.js';
+import type {Admission} from './admission_reason.js';
+import {watchAttempt} from './attempt_watch.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {createPromptTracker} from './prompt_tracker.js';
 import type {AttemptTracker} from './prompt_tracker.js';
 import type {QuarantineGuard} from './quarantine_guard.js';
 import {isRepeatable} from './repeatable.js';
+import {addWait, createRelayReport} from './relay_report.js';
+import type {RelayReport} from './relay_report.js';
+import {
+  buildAttemptError,
+  buildQuarantineError,
+  buildResumptionError,
+  isEndedHere,
+} from './result_errors.js';
 import {computeRetryAfter} from './retry_after.js';
 import {waitForServer} from './server_wait.js';
 import type {ServerConnections} from './server_connections.js';
 
+export type {RelayReport} from './relay_report.js';
+
 /** Dependencies that all requests of an instance share. */
 export interface RelayContext {
   clock: Clock;
@@ -41,6 +51,8 @@
   /** Largest answer that is buffered, in bytes. */
   maximumAnswerBytes: number;
   quarantine: QuarantineGuard;
+  /** Orders requests by urgency; without it they take capacity as they find it. */
+  admission?: Admission;
   random: () => number;
   /** Aborted when the instance ends the requests that are still open. */
   stopSignal: AbortSignal;
@@ -62,25 +74,6 @@
   disconnectSignal: AbortSignal;
 }
 
-/** Outcome of a request, for the log and metrics. */
-export interface RelayReport {
-  /** Ids of the servers of all attempts, in order. */
-  servers: string[];
-  /** Reason at the end of each attempt, in order. */
-  reasons: string[];
-  /** Times at which the attempts were sent, in milliseconds after the arrival. */
-  sentMs: number[];
-  /** Connections of the attempts, in order; `-` for an attempt without one. */
-  connections: string[];
-  /** Placement of the last attempt, if it was a generation. */
-  placement: EnginePlacement | undefined;
-  /** Whether servers were left out since their rate of requests is used up. */
-  isDiverted: boolean;
-  /** Time until the first event or the complete answer, in milliseconds. */
-  firstByteMs: number | undefined;
-  error: RouterError | undefined;
-}
-
 /** A server ends a request at its deadline; this leaves time for its answer to arrive. */
 const ANSWER_GRACE_MS = 80;
 /** A request is repeated only with more time than this until its deadline. */
@@ -125,16 +118,7 @@
   let successor: SelectedServer | undefined;
   /** Time until limited rates allow the request, if only they keep it back, in ms. */
   let limitWaitMs: number | undefined;
-  const report: RelayReport = {
-    servers: [],
-    reasons: [],
-    sentMs: [],
-    connections: [],
-    placement: undefined,
-    isDiverted: false,
-    firstByteMs: undefined,
-    error: undefined,
-  };
+  const report = createRelayReport();
 
   function markFirstByte(): void {
     report.firstByteMs ??= clock.now() - receivedAt;
@@ -163,11 +147,18 @@
       code === 'server_unreachable' ? 'no_server' : code,
       detail,
       {
-        retryAfterMs: computeRetryAfter({
-          remainingMs,
-          random: context.random,
-          availableInMs: limitWaitMs,
-        }),
+        retryAfterMs: context.admission
+          ? context.admission.computeRetryAfter({
+              route,
+              urgencyPosition: request.urgency.position,
+              deadlineAt,
+              availableInMs: limitWaitMs,
+            })
+          : computeRetryAfter({
+              remainingMs,
+              random: context.random,
+              availableInMs: limitWaitMs,
+            }),
       },
     );
   }
@@ -197,18 +188,31 @@
 
   /** Waits for an available server; undefined if there is none in time. */
   async function findServer(): Promise<SelectedServer | undefined> {
-    const result = await waitForServer({
+    const options = {
       selection,
       route,
       metadata,
       excluded: new Set([...excluded, ...slowServers]),
       buildLimits,
-      select: (limits, now) => selectServer(excluded, limits, now),
+      select: (limits: SelectionLimits, now: number) =>
+        selectServer(excluded, limits, now),
       deadlineAt,
       clock,
       disconnectSignal,
       stopSignal,
+    };
+    if (!context.admission) {
+      const result = await waitForServer(options);
+      limitWaitMs = result.limitWaitMs;
+      return result.selected;
+    }
+    const result = await context.admission.wait({
+      ...options,
+      urgencyPosition: request.urgency.position,
+      receivedAt,
+      hasBegun: answer.hasBegun,
     });
+    addWait(report, result);
     limitWaitMs = result.limitWaitMs;
     return result.selected;
   }
@@ -262,7 +266,10 @@
     }
     const now = clock.now();
     const otherIds = new Set([...excluded, ...slowServers, server.id]);
-    const next = selectServer(otherIds, buildLimits(now), now);
+    const limits = context.admission
+      ? context.admission.addHolds(route, buildLimits(now), now)
+      : buildLimits(now);
+    const next = selectServer(otherIds, limits, now);
     if (next && !budgets.take(service.name, now)) {
       next.requestHandle.end();
       return false;
@@ -387,11 +394,7 @@
   function settleResult(result: AttemptResult): RouterError | undefined {
     if (result.end === AttemptEnd.COMPLETE) {
       if (answer.hasBegun && !isSuccess(result.head!.status)) {
-        return new RouterError(
-          'answer_truncated',
-          'the server that resumed the stream failed',
-          {outcome: Outcome.UNKNOWN},
-        );
+        return buildResumptionError();
       }
       if (answer.hasBegun) {
         answer.endStream();
@@ -401,29 +404,13 @@
       }
       return undefined;
     }
-    if (result.reason === 'deadline') {
-      return new RouterError(
-        'deadline_passed',
-        'the deadline passed without a complete answer',
-        {outcome: Outcome.UNKNOWN},
-      );
-    }
-    if (result.reason === INTERRUPTED_REASON) {
-      return new RouterError(
-        'interrupted',
-        'the instance stopped before the answer was complete',
-        {outcome: Outcome.UNKNOWN},
-      );
-    }
-    if (result.end === AttemptEnd.NOT_RUN) {
+    if (result.end === AttemptEnd.NOT_RUN && !isEndedHere(result)) {
       return refuse(
         'server_refused',
         `the server did not run the request: ${result.reason}`,
       );
     }
-    return new RouterError('answer_garbled', `no answer: ${result.reason}`, {
-      outcome: Outcome.UNKNOWN,
-    });
+    return buildAttemptError(result);
   }
 
   /** Whether the attempt has no answer or the answer is a server error. */
@@ -431,14 +418,6 @@
     return result.end !== AttemptEnd.COMPLETE || isServerFailure(result);
   }
 
-  function buildQuarantineError(): RouterError {
-    return new RouterError(
-      'prompt_quarantined',
-      'backend servers ended when they began to answer prompts with the same block',
-      {outcome: possibleRuns > 0 ? Outcome.UNKNOWN : Outcome.NOT_RUN},
-    );
-  }
-
   async function runAttempts(): Promise<RouterError | undefined> {
     budgets.recordRequest(route, clock.now());
     for (;;) {
@@ -449,7 +428,7 @@
         return refuse('leaving', 'the instance is stopping');
       }
       if (prompt.isQuarantined()) {
-        return buildQuarantineError();
+        return buildQuarantineError(possibleRuns);
       }
       const selected = successor ?? (await findServer());
       successor = undefined;
@@ -460,12 +439,12 @@
       }
       if (prompt.isQuarantined()) {
         selected.requestHandle.end();
-        return buildQuarantineError();
+        return buildQuarantineError(possibleRuns);
       }
       const result = await runAttempt(selected);
       if (result.reason === QUARANTINED_REASON) {
         possibleRuns += 1;
-        return buildQuarantineError();
+        return buildQuarantineError(possibleRuns);
       }
       const {server, service} = selected;
       recordOutcome(result, server.id);
--- a/packages/gateway/src/relay/retry_after.ts
+++ b/packages/gateway/src/relay/retry_after.ts
@@ -6,12 +6,14 @@
   remainingMs: number;
   /** Time until a request may be sent, in milliseconds, if that is known. */
   availableInMs?: number | undefined;
+  /** Planned time of the return, in place of a random one, in milliseconds. */
+  plannedMs?: number | undefined;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
 
 /** Callers honour a delay of up to a third of the time until their deadline. */
-const HONOURED_RATIO = 0.33;
+export const HONOURED_RATIO = 0.33;
 /**
  * Lower end of the random delay, as a fraction of the longest. The spread keeps
  * callers from retrying at the same time.
@@ -31,8 +33,8 @@
   );
   const ratio =
     MINIMUM_SPREAD_RATIO + (1 - MINIMUM_SPREAD_RATIO) * options.random();
-  const {availableInMs = 0} = options;
+  const {availableInMs = 0, plannedMs = longestMs * ratio} = options;
   // Of servers to which this instance never sends, nothing is known.
   const knownMs = Number.isFinite(availableInMs) ? availableInMs : 0;
-  return Math.round(Math.max(longestMs * ratio, knownMs));
+  return Math.round(Math.max(plannedMs, knownMs));
 }
--- a/packages/gateway/src/relay/server_wait.ts
+++ b/packages/gateway/src/relay/server_wait.ts
@@ -25,6 +25,8 @@
   /** Aborted when the caller disconnects. */
   disconnectSignal: AbortSignal;
   stopSignal: AbortSignal;
+  /** Waits between two polls. */
+  pause?: (ms: number, signal: AbortSignal) => Promise<void>;
 }
 
 export interface ServerWaitResult {
@@ -51,7 +53,7 @@
   options: ServerWaitOptions,
 ): Promise<ServerWaitResult> {
   const {selection, route, metadata, excluded, clock, deadlineAt} = options;
-  const {disconnectSignal, stopSignal} = options;
+  const {disconnectSignal, stopSignal, pause = waitFor} = options;
   const waitMs = Math.max(MINIMUM_WAIT_MS, route.targetLatencyMs * WAIT_RATIO);
   const waitEndsAt = Math.min(deadlineAt, clock.now() + waitMs);
   let place: WaitingPlace | undefined;
@@ -87,7 +89,7 @@
       ) {
         return {selected: undefined, limitWaitMs};
       }
-      await waitFor(POLL_MS, disconnectSignal);
+      await pause(POLL_MS, disconnectSignal);
     }
   } finally {
     place?.end();
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,7 @@
 /** Schema and parser of a gateway's settings, which are one JSON file. */
 import {LogLevel, RouterError} from '@buckthornbeam/shared';
 import {z} from 'zod';
+import {AdmissionOrder} from './relay/admission_reason.js';
 
 const addressSchema = z
   .string()
@@ -101,6 +102,12 @@
       maximumHeldBytes: z.number().int().positive().default(48_000_000),
     })
     .prefault({}),
+  admission: z
+    .object({
+      /** Order in which waiting requests take free capacity. */
+      order: z.enum(Object.values(AdmissionOrder)).default('arrival'),
+    })
+    .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
 });
 
--- a/packages/gateway/src/state/server_availability.ts
+++ b/packages/gateway/src/state/server_availability.ts
@@ -36,6 +36,15 @@
     instances: readonly string[],
     now: number,
   ): boolean;
+  /** Whether the server is cold and this instance is not one of the few that may use it. */
+  isOutOfReach(
+    tracked: TrackedServer,
+    service: Service,
+    instances: readonly string[],
+    now: number,
+  ): boolean;
+  /** Whether the server is cold and its service limits the rate of requests to it. */
+  isCold(tracked: TrackedServer, service: Service, now: number): boolean;
   /**
    * Computes the time until what the server states about itself allows a request,
    * after those ahead of it, in milliseconds.
@@ -95,6 +104,18 @@
     return tracked.coldUntil > now && service.coldRequestsPerSecond > 0;
   }
 
+  function isOutOfReach(
+    tracked: TrackedServer,
+    service: Service,
+    instances: readonly string[],
+    now: number,
+  ): boolean {
+    return (
+      isCold(tracked, service, now) &&
+      !coldLimit.isAssigned(tracked.server.id, instances)
+    );
+  }
+
   function getColdTolerance(service: Service): ColdTolerance {
     return {
       requestsPerSecond: service.coldRequestsPerSecond,
@@ -126,9 +147,11 @@
         isReachable(id, now) &&
         !statements.isExcluded(server) &&
         hasFreeConnection(service, id, instances.length) &&
-        (!isCold(tracked, service, now) || coldLimit.isAssigned(id, instances))
+        !isOutOfReach(tracked, service, instances, now)
       );
     },
+    isCold,
+    isOutOfReach,
     computeWait: ({server}, instances, now, requestsAhead) =>
       statements.computeWait(server, {instances}, now, requestsAhead),
     claim: (tracked, service, instances, now) =>
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -29,6 +29,8 @@
 import type {PlacementLimits} from './engine_request.js';
 import type {ClusterState} from './cluster_state.js';
 import type {ServerActivity} from './server_activity.js';
+import {findCapacityLack} from './capacity_lack.js';
+import type {CapacityLack} from './capacity_lack.js';
 import {createServerAvailability} from './server_availability.js';
 import type {TrackedServer} from './server_entries.js';
 import type {ServerLoads, RequestHandle} from './server_loads.js';
@@ -89,6 +91,10 @@
 /** Time limits of a request, and its place if it waits already. */
 export interface SelectionLimits extends PlacementLimits {
   place?: WaitingPlace;
+  /** Whether the request must not take capacity of the service. */
+  isHeldBack?: (serviceName: string) => boolean;
+  /** Fraction of the usual backlog of a server that the request may meet; 1 if absent. */
+  backlogFactor?: number;
 }
 
 export interface ServerSelection {
@@ -117,6 +123,13 @@
     limits: SelectionLimits,
     now: number,
   ): number | undefined;
+  /** Describes what a request lacks that got no server. */
+  findLack(
+    route: Route,
+    request: RequestMetadata,
+    excluded: ReadonlySet<string>,
+    now: number,
+  ): CapacityLack;
   recordOutcome(serverId: string, outcome: ServerOutcome, now: number): void;
   /** Applies what an answer of the server states. */
   recordStatement(...answer: Parameters<StatementTracker['record']>): void;
@@ -273,7 +286,7 @@
     servers: readonly TrackedServer[],
     service: Service,
     metadata: GenerationMetadata,
-    limits: PlacementLimits,
+    limits: SelectionLimits,
     instances: readonly string[],
     now: number,
   ): PlacedServer | undefined {
@@ -295,7 +308,9 @@
       const {serverId, prefillTokens, expectedEndMs} = placement;
       if (
         expectedEndMs >
-        limits.remainingMs * computeMaximumDurationRatio(limits.urgencyPosition)
+        limits.remainingMs *
+          computeMaximumDurationRatio(limits.urgencyPosition) *
+          (limits.backlogFactor ?? 1)
       ) {
         return undefined;
       }
@@ -368,6 +383,9 @@
     select: (route, request, excluded, limits, now) => {
       const instances = options.listInstances(now);
       for (const service of listServices(route, request.id)) {
+        if (limits.isHeldBack?.(service.name)) {
+          continue;
+        }
         const acceptable = listAcceptable(
           service,
           route,
@@ -426,6 +444,19 @@
         ? undefined
         : Math.min(...waits.map(wait => wait!));
     },
+    findLack: (route, request, excluded, now) => {
+      const instances = options.listInstances(now);
+      return findCapacityLack(
+        listServices(route, request.id).flatMap(service => ({
+          service,
+          listed: clusterState
+            .listServers(service.name)
+            .filter(({server}) => !excluded.has(server.id)),
+          acceptable: listAcceptable(service, route, excluded, instances, now),
+        })),
+        {availability, instances, now},
+      );
+    },
     recordOutcome: (serverId, outcome, now) =>
       availability.recordOutcome(serverId, outcome, now),
     recordStatement: (server, statement, answer) => {
