fix(decisions): the reserve lets requests pass where no others are served

Cause: the reserve is a part of the fraction of requests that the instance serves. An instance that has only requests of a rank that is held back serves none, so that none passed for as long as the shortage was announced. A service that is not configured no longer counts as one that is too late.

--- a/packages/decisions/src/rank_reserve.ts
+++ b/packages/decisions/src/rank_reserve.ts
@@ -24,6 +24,11 @@
  * taken from the more urgent ones.
  */
 const RESERVED_RATIO = 0.27;
+/**
+ * Lower bound of the share that counts as served. An instance that has only requests that
+ * are held back serves none, and would let none pass.
+ */
+const MINIMUM_SERVED_RATIO = 0.4;
 /** Requests that a rank can save up; more would pass in a burst. */
 const MAXIMUM_CREDIT = 2;
 /** Time in which the weight of a recorded request halves. */
@@ -72,7 +77,10 @@
     recordAsked: (serviceName, urgencyPosition, now) => {
       const counts = getCounts(serviceName, now);
       counts.asked += 1;
-      const servedRatio = Math.min(1, counts.started / counts.asked);
+      const servedRatio = Math.min(
+        1,
+        Math.max(MINIMUM_SERVED_RATIO, counts.started / counts.asked),
+      );
       addCredit(counts, urgencyPosition, RESERVED_RATIO * servedRatio);
     },
     recordStart: (serviceName, urgencyPosition, now) => {
--- a/packages/gateway/src/state/start_estimate.ts
+++ b/packages/gateway/src/state/start_estimate.ts
@@ -53,6 +53,11 @@
   endMs: number;
 }
 
+const MINIMUM_TIMES: IdleTimes = {
+  firstEventMs: MINIMUM_ATTEMPT_MS,
+  endMs: MINIMUM_ATTEMPT_MS,
+};
+
 /** The shared part of the prompt counts as cached, so that the times are the shortest. */
 function estimateIdleTimes(
   {engine}: Service,
@@ -60,7 +65,7 @@
   prefillTokensPerMs: number,
 ): IdleTimes {
   if (!engine || !metadata.generation) {
-    return {firstEventMs: MINIMUM_ATTEMPT_MS, endMs: MINIMUM_ATTEMPT_MS};
+    return MINIMUM_TIMES;
   }
   const request = buildEngineRequest(metadata.generation, {
     targetMs: route.targetLatencyMs,
@@ -101,11 +106,10 @@
   prefillTokensPerMs: number,
 ): WaitLimits {
   const {route, receivedAt, deadlineAt, now} = times;
-  const idle = services.map(service =>
-    estimateIdleTimes(service, times, prefillTokensPerMs),
-  );
-  const firstEventMs = Math.min(...idle.map(item => item.firstEventMs));
-  const endMs = Math.min(...idle.map(item => item.endMs));
+  const idle = services
+    .map(service => estimateIdleTimes(service, times, prefillTokensPerMs))
+    .sort((a, b) => a.endMs - b.endMs);
+  const {firstEventMs, endMs} = idle[0] ?? MINIMUM_TIMES;
   const abandonMs = Math.max(
     ABANDON_MS,
     route.targetLatencyMs * ABANDON_TARGETS,
