--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -48,6 +48,7 @@
     const settings = parseGatewaySettings(JSON.stringify(SETTINGS));
     assert.is(settings.keys.failClosed, true);
     assert.is(settings.stop.graceMs, 8000);
+    assert.is(settings.admission.order, 'arrival');
   });
 
   it('ignore unknown fields', () => {
--- a/packages/gateway/__tests__/support/relay_fixture.ts
+++ b/packages/gateway/__tests__/support/relay_fixture.ts
@@ -1,12 +1,16 @@
 /** Relays requests to scripted servers, over one pool of connections. */
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
-import {createPrefixLocations} from '@buckthornbeam/decisions';
+import {
+  createPrefixLocations,
+  createRoomShortages,
+} from '@buckthornbeam/decisions';
 import {createSystemClock} from '@buckthornbeam/shared';
 import type {RouterError} from '@buckthornbeam/shared';
 import type {Route} from '../../src/model.js';
 import type {AnswerHead} from '../../src/relay/attempt.js';
 import type {CallerAnswer} from '../../src/relay/caller_answer.js';
+import {createAdmission} from '../../src/relay/admission.js';
 import {relayRequest} from '../../src/relay/request_relay.js';
 import type {RelayReport} from '../../src/relay/request_relay.js';
 import {createServerConnections} from '../../src/relay/server_connections.js';
@@ -144,6 +148,8 @@
   /** Addresses by server id; servers are selected in this order. */
   addresses: Readonly<Record<string, string>>;
   route?: Partial<Route>;
+  /** Whether requests wait for servers in the order of urgency. */
+  isOrdered?: boolean;
 }
 
 export interface RelayFixture {
@@ -156,23 +162,30 @@
   const clock = createSystemClock();
   const activity = createServerActivity();
   const connections = createServerConnections();
+  const clusterState = createFilledClusterState(
+    createConfiguration({routes: [route]}),
+    Object.entries(options.addresses).map(([id, address], index) =>
+      createServerEntry({
+        id,
+        address,
+        // With many slots, only the data centre and then the list order decide.
+        slots: 1000,
+        dataCentre: index === 0 ? 'here' : 'there',
+      }),
+    ),
+  );
+  const admission = createAdmission({
+    clusterState,
+    shortages: createRoomShortages(),
+    prefillTokensPerMs: 50,
+    clock,
+  });
   const selection = createServerSelection({
     locations: createPrefixLocations(),
     selfId: 'self',
     dataCentre: 'here',
     regions: {},
-    clusterState: createFilledClusterState(
-      createConfiguration({routes: [route]}),
-      Object.entries(options.addresses).map(([id, address], index) =>
-        createServerEntry({
-          id,
-          address,
-          // With many slots, only the data centre and then the list order decide.
-          slots: 1000,
-          dataCentre: index === 0 ? 'here' : 'there',
-        }),
-      ),
-    ),
+    clusterState,
     loads: createServerLoads(),
     activity,
     prefillTokensPerMs: 50,
@@ -196,6 +209,7 @@
     random: () => 0.5,
     quarantine: createTestGuard(),
     stopSignal: new AbortController().signal,
+    ...(options.isOrdered ? {admission} : {}),
   };
 
   async function send(
