feat(gateway): a wait without capacity is reported also in the order of arrival

The shares of customers ask whether capacity is scarce, whatever the order. RelayContext has an optional callback for it, which nothing sets yet. An instance that leaves gives its usual time to return, since others have capacity.

--- a/packages/gateway/src/relay/capacity_holds.ts
+++ b/packages/gateway/src/relay/capacity_holds.ts
@@ -122,9 +122,9 @@
     },
     addBlocked: (blocked, targets, request) => {
       for (const target of targets) {
-        if (hasOtherServer(target, request)) {
-          const present = blocked.get(target.key) ?? Infinity;
-          blocked.set(target.key, Math.min(present, request.position));
+        const present = blocked.get(target.key) ?? Infinity;
+        if (request.position < present && hasOtherServer(target, request)) {
+          blocked.set(target.key, request.position);
         }
       }
     },
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -53,6 +53,8 @@
   quarantine: QuarantineGuard;
   /** Orders requests by urgency; without it they take capacity as they find it. */
   admission?: Admission;
+  /** Called without `admission` when no server has capacity for a request. */
+  onLack?: (route: Route, now: number) => void;
   random: () => number;
   /** Aborted when the instance ends the requests that are still open. */
   stopSignal: AbortSignal;
@@ -147,18 +149,19 @@
       code === 'server_unreachable' ? 'no_server' : code,
       detail,
       {
-        retryAfterMs: context.admission
-          ? context.admission.computeRetryAfter({
-              route,
-              urgencyPosition: request.urgency.position,
-              deadlineAt,
-              availableInMs: limitWaitMs,
-            })
-          : computeRetryAfter({
-              remainingMs,
-              random: context.random,
-              availableInMs: limitWaitMs,
-            }),
+        retryAfterMs:
+          context.admission && code !== 'leaving'
+            ? context.admission.computeRetryAfter({
+                route,
+                urgencyPosition: request.urgency.position,
+                deadlineAt,
+                availableInMs: limitWaitMs,
+              })
+            : computeRetryAfter({
+                remainingMs,
+                random: context.random,
+                availableInMs: limitWaitMs,
+              }),
       },
     );
   }
@@ -202,7 +205,11 @@
       stopSignal,
     };
     if (!context.admission) {
-      const result = await waitForServer(options);
+      const {onLack} = context;
+      const result = await waitForServer({
+        ...options,
+        ...(onLack ? {onLack: now => onLack(route, now)} : {}),
+      });
       limitWaitMs = result.limitWaitMs;
       return result.selected;
     }
--- a/packages/gateway/src/relay/server_wait.ts
+++ b/packages/gateway/src/relay/server_wait.ts
@@ -25,6 +25,8 @@
   /** Aborted when the caller disconnects. */
   disconnectSignal: AbortSignal;
   stopSignal: AbortSignal;
+  /** Called when no server is available. */
+  onLack?: (now: number) => void;
   /** Waits between two polls. */
   pause?: (ms: number, signal: AbortSignal) => Promise<void>;
 }
@@ -68,6 +70,7 @@
       if (selected) {
         return {selected, limitWaitMs: undefined};
       }
+      options.onLack?.(now);
       const limitWaitMs = selection.computeLimitWait(
         route,
         metadata,
