--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -50,6 +50,7 @@
     assert.is(settings.stop.graceMs, 8000);
     assert.is(settings.engines.spreading, 'off');
     assert.is(settings.admission.customerShares, 'off');
+    assert.is(settings.admission.order, 'arrival');
   });
 
   it('of spreading are off or even', () => {
@@ -170,6 +171,7 @@
     quarantineNews: [],
     limitNews: [],
     faultSums: [],
+    shortageNews: [],
   };
 
   it('are decoded as encoded, an infinite age as a large one', () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,9 @@
 /** Wires up a router instance that forwards requests directly to backend servers. */
-import {StatementKind, createPrefixLocations} from '@buckthornbeam/decisions';
+import {
+  StatementKind,
+  createPrefixLocations,
+  createRoomShortages,
+} from '@buckthornbeam/decisions';
 import {
   createLogger,
   createSystemClock,
@@ -20,6 +24,8 @@
 import {createGossipTask} from './peers/gossip_task.js';
 import {createClusterStateExchange} from './peers/cluster_state_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
+import {createAdmission} from './relay/admission.js';
+import {AdmissionOrder} from './relay/admission_reason.js';
 import {createQuarantineGuard} from './relay/quarantine_guard.js';
 import {createServerConnections} from './relay/server_connections.js';
 import {createServerProbe} from './relay/server_probe.js';
@@ -112,6 +118,7 @@
     ? createFaultTracker({logger})
     : undefined;
   const locations = createPrefixLocations();
+  const shortages = createRoomShortages();
   let isStopping = false;
   let stopped: Promise<void> | undefined;
   let maintenanceTimer: NodeJS.Timeout | undefined;
@@ -241,6 +248,7 @@
       },
     },
     ...(customers ? {customers: customers.sums} : {}),
+    shortages,
     pauses,
     clock,
     logger,
@@ -265,6 +273,7 @@
       clusterState.getConfiguration()?.version ?? 0,
     countPeers: () => gossip.table.listAlive(clock.now()).length,
     countQuarantined: () => quarantine.list(clock.now()).length,
+    countWaitingRequests: () => admission?.countWaiting() ?? 0,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
     countFaultyServers: () => faults?.countFaulty() ?? 0,
     countPausedServers: () => statements.count(StatementKind.PAUSE),
@@ -299,6 +308,18 @@
     faults,
   });
 
+  const admission =
+    settings.admission.order === AdmissionOrder.URGENCY
+      ? createAdmission({
+          clusterState,
+          shortages,
+          prefillTokensPerMs: settings.engines.readingTokensPerMs,
+          clock,
+          onWaitEnd: ({reason, selected}) =>
+            metrics.countWait(reason, selected !== undefined),
+        })
+      : undefined;
+
   const repeatBudgets = createRepeatBudgets({
     fleet: {
       ratio: settings.repeats.ratio,
@@ -342,6 +363,7 @@
       maximumAnswerBytes: settings.limits.maximumHeldBytes,
       quarantine: quarantineGuard,
       random: Math.random,
+      ...(admission ? {admission} : {}),
     },
     grantAccess,
     getLimits: () => clusterState.getConfiguration()?.limits,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -17,6 +17,8 @@
   observeLoadError(requests: number): void;
   /** Counts a request refused since its customer was over its share. */
   countShareRefusal(customer: string): void;
+  /** Counts a wait for a server by urgency. */
+  countWait(reason: string, isServed: boolean): void;
   countConnection(): void;
   /** Counts a read of the store by its result. */
   countStoreRead(isSuccess: boolean): void;
@@ -39,6 +41,7 @@
   countPausedServers: () => number;
   /** Counts the ranks whose capacity is divided between customers. */
   countScarceRanks?: () => number;
+  countWaitingRequests?: () => number;
   getLongestPauseMs: () => number;
 }
 
@@ -104,6 +107,12 @@
     labelNames: ['customer'],
     registers,
   });
+  const waits = new Counter({
+    name: 'buckthornbeam_admissions_total',
+    help: 'Requests in the order by urgency, by what they waited for and whether they got a server.',
+    labelNames: ['reason', 'result'],
+    registers,
+  });
   const connections = new Counter({
     name: 'buckthornbeam_server_connections_total',
     help: 'Connections opened to backend servers.',
@@ -163,6 +172,11 @@
       'Ranks of services whose capacity is divided between customers.',
       sources.countScarceRanks ?? (() => 0),
     ],
+    [
+      'buckthornbeam_waiting_requests',
+      'Requests that wait for a server by urgency.',
+      sources.countWaitingRequests ?? (() => 0),
+    ],
     [
       'buckthornbeam_event_loop_pause_seconds',
       'Longest time without a turn of the event loop, in the last one to two minutes.',
@@ -190,6 +204,8 @@
     observeLoadAge: ms => loadAge.observe(ms / MS_PER_SECOND),
     observeLoadError: requests => loadError.observe(requests),
     countShareRefusal: customer => shareRefusals.inc({customer}),
+    countWait: (reason, isServed) =>
+      waits.inc({reason, result: isServed ? 'served' : 'refused'}),
     countConnection: () => connections.inc(),
     countStoreRead: isSuccess =>
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -3,6 +3,7 @@
  * which lists of numbers are packed columns, since messages are frequent.
  */
 import {decode, encode} from '@msgpack/msgpack';
+import type {ShortageNews} from '@buckthornbeam/decisions';
 import type {
   GossipRecord,
   LivenessEntry,
@@ -17,6 +18,7 @@
 import {decodeSums, encodeSums} from './fleet_sums.js';
 import type {SumRow} from './fleet_sums.js';
 import type {LimitNews} from './limit_news.js';
+import {decodeShortageNews, encodeShortageNews} from './shortage_news.js';
 
 /** What the receiver does with a message. */
 export const GossipKind = {
@@ -67,6 +69,8 @@
   faultSums: readonly SumRow[];
   /** What customers asked for and got; absent unless capacity is scarce. */
   customerNews?: readonly RankNews[];
+  /** Services that lack capacity. */
+  shortageNews: readonly ShortageNews[];
 }
 
 /** A message as sent to one instance, with the instances to forward it to. */
@@ -155,12 +159,12 @@
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
       faultSums: decodeSums(row[18] ?? new Uint8Array(), FAULT_VALUES),
       ...(row[17]?.length ? {customerNews: decodeCustomerNews(row[17])} : {}),
+      shortageNews: decodeShortageNews(row[16] ?? new Uint8Array()),
     }),
   );
 
 const envelopeSchema = z.tuple([bytesSchema, z.number(), bytesSchema]);
 
-const NO_BYTES = new Uint8Array();
 const INTEGER_BYTES = 4;
 /** Hash, requests, pending tokens, tokens in flight and prefill rate. */
 const LOAD_ROW_BYTES = 12;
@@ -284,8 +288,7 @@
   const columns = [
     encodeIntegers(message.quarantineNews),
     encodeLimitNews(message.limitNews),
-    // Element 16 is reserved for announcements of shortages.
-    NO_BYTES,
+    encodeShortageNews(message.shortageNews),
     encodeCustomerNews(message.customerNews ?? []),
     encodeSums(message.faultSums),
   ];
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -2,11 +2,12 @@
  * Gossip of one instance without I/O: the caller passes in received messages and
  * the time, and sends what is returned. docs/design/gossip.md describes it.
  */
-import {createUpdateQueue} from '@buckthornbeam/decisions';
+import {createRoomShortages, createUpdateQueue} from '@buckthornbeam/decisions';
 import type {
   PrefixLocations,
   PromptQuarantine,
   QuarantineNews,
+  RoomShortages,
 } from '@buckthornbeam/decisions';
 import {createGossipTable} from '@buckthornbeam/membership';
 import type {
@@ -46,6 +47,7 @@
   faults?: FleetSumExchange | undefined;
   /** What customers asked for and got, while capacity is scarce. */
   customers?: CustomerSums;
+  shortages?: Pick<RoomShortages, 'listNews' | 'acceptNews'>;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -127,6 +129,7 @@
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
   const {limits = NO_LIMITS, faults, customers} = options;
+  const {shortages = createRoomShortages()} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
     selfId,
@@ -151,6 +154,7 @@
   /** Change of the load, and own state hash, in the last report. */
   let reportedChange = -1;
   let reportedSelfHash = -1;
+  let hasReportedShortage = false;
   /** When the state in the last totals was confirmed, in local time. */
   let publishedConfirmationAt = -Infinity;
 
@@ -190,6 +194,7 @@
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
       faultSums: faults?.buildGroupSum(now) ?? [],
       customerNews: customers?.buildGroupSum(now) ?? [],
+      shortageNews: shortages.listNews(now, MAXIMUM_HOPS.GROUP_SUM),
     });
     return buildDatagrams(message, listAddresses(view.listSumTargets(now)));
   }
@@ -220,6 +225,7 @@
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
       faultSums: faults?.buildTotals(now) ?? [],
       customerNews: customers?.buildTotals(now) ?? [],
+      shortageNews: shortages.listNews(now, MAXIMUM_HOPS.TOTALS),
     });
     const forwarders = view.pickForwarders(peers, now);
     const direct = forwarders.length > 0 ? forwarders : peers;
@@ -242,6 +248,8 @@
     reportedAt = now;
     reportedChange = loads.getChangeCount();
     reportedSelfHash = messages.getSelfHash();
+    const shortageNews = shortages.listNews(now, MAXIMUM_HOPS.REPORT);
+    hasReportedShortage = shortageNews.length > 0;
     const message = messages.build(GossipKind.REPORT, now, {
       groupKey: view.getOwnKey(),
       loadReport: loads.buildReport(now),
@@ -250,6 +258,7 @@
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
       faultSums: faults?.buildReport(now) ?? [],
       customerNews: customers?.buildReport(now) ?? [],
+      shortageNews,
     });
     return buildDatagrams(message, listAddresses(targets));
   }
@@ -265,6 +274,9 @@
       loads.getChangeCount() !== reportedChange ||
       messages.getSelfHash() !== reportedSelfHash ||
       !ownNews.isEmpty() ||
+      // After its end, one report without a shortage replaces the last.
+      hasReportedShortage ||
+      shortages.listNews(now, MAXIMUM_HOPS.REPORT).length > 0 ||
       confirmedAt > publishedConfirmationAt + NEWER_STATE_MS
     );
   }
@@ -306,6 +318,7 @@
   ) => GossipDatagram[];
 
   function acceptContent(message: GossipMessage, now: number): LearnedContent {
+    shortages.acceptNews(message.sender.instanceId, message.shortageNews, now);
     if (message.limitNews.length > 0) {
       limits.acceptNews(message.limitNews, now);
     }
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -1,7 +1,11 @@
 /** Sends and receives gossip messages over a UDP socket. */
 import {createSocket} from 'node:dgram';
 import type {RemoteInfo} from 'node:dgram';
-import type {PrefixLocations, PromptQuarantine} from '@buckthornbeam/decisions';
+import type {
+  PrefixLocations,
+  PromptQuarantine,
+  RoomShortages,
+} from '@buckthornbeam/decisions';
 import type {GossipRecord, GossipTable} from '@buckthornbeam/membership';
 import {splitAddress} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
@@ -29,6 +33,7 @@
   /** Faults of servers; not exchanged if absent. */
   faults?: FleetSumExchange | undefined;
   customers?: CustomerSums;
+  shortages?: RoomShortages;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
   clock: Clock;
   logger: Logger;
@@ -99,6 +104,7 @@
     ...(options.limits ? {limits: options.limits} : {}),
     faults: options.faults,
     ...(options.customers ? {customers: options.customers} : {}),
+    ...(options.shortages ? {shortages: options.shortages} : {}),
     random,
   });
   const {table} = node;
--- a/packages/gateway/src/relay/retry_after.ts
+++ b/packages/gateway/src/relay/retry_after.ts
@@ -6,6 +6,8 @@
   remainingMs: number;
   /** Time until a request may be sent, in milliseconds, if that is known. */
   availableInMs?: number | undefined;
+  /** Planned time of the return, in place of a random one, in milliseconds. */
+  plannedMs?: number | undefined;
   /** Returns a number in [0, 1). */
   random: () => number;
 }
@@ -15,7 +17,7 @@
 /** Part of a delay that is random, so that callers do not return together. */
 const SHARE_SPREAD_RATIO = 0.25;
 /** Callers honour a delay of up to a third of the time until their deadline. */
-const HONOURED_RATIO = 0.33;
+export const HONOURED_RATIO = 0.33;
 /**
  * Lower end of the random delay, as a fraction of the longest. The spread keeps
  * callers from retrying at the same time.
@@ -35,10 +37,10 @@
   );
   const ratio =
     MINIMUM_SPREAD_RATIO + (1 - MINIMUM_SPREAD_RATIO) * options.random();
-  const {availableInMs = 0} = options;
+  const {availableInMs = 0, plannedMs = longestMs * ratio} = options;
   // Of servers to which this instance never sends, nothing is known.
   const knownMs = Number.isFinite(availableInMs) ? availableInMs : 0;
-  return Math.round(Math.max(longestMs * ratio, knownMs));
+  return Math.round(Math.max(plannedMs, knownMs));
 }
 
 /**
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,6 +2,7 @@
 import {LogLevel, RouterError} from '@buckthornbeam/shared';
 import {z} from 'zod';
 import {Spreading} from './state/load_spreading.js';
+import {AdmissionOrder} from './relay/admission_reason.js';
 
 const addressSchema = z
   .string()
@@ -114,6 +115,8 @@
     .object({
       /** Whether scarce capacity is divided between customers. */
       customerShares: z.enum(['off', 'on']).default('off'),
+      /** Order in which waiting requests take free capacity. */
+      order: z.enum(Object.values(AdmissionOrder)).default('arrival'),
     })
     .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
