feat(shared): bounded blocks for bodies, and bounded waiting for turns

Change: a byte buffer asks before it grows, allocates an announced length at once and has pages of its own from 128 KiB on. A pacer gives a body up if four others wait, where its user allows it.

Ruled out: blocks that are used again, since a connection may still write them.

--- a/packages/shared/src/byte_buffer.ts
+++ b/packages/shared/src/byte_buffer.ts
@@ -7,7 +7,7 @@
 export interface ByteBuffer {
   /** Number of bytes in the buffer. */
   readonly length: number;
-  /** Adds a copy of `bytes`; false, without any change, above the limit. */
+  /** Adds a copy of `bytes`; false, without any change, above a limit. */
   append(bytes: Uint8Array): boolean;
   /** Returns the bytes without a copy; valid until the next call of a method. */
   getBytes(): Buffer;
@@ -18,31 +18,70 @@
 /** Options of {@link createByteBuffer}. */
 export interface ByteBufferOptions {
   maximumBytes: number;
+  /** Length that was announced: the first block has it, so that it need not grow. */
+  expectedBytes?: number;
+  /** Called with the capacity before it grows; false leaves the buffer as it is. */
+  reserve?: (capacityBytes: number) => boolean;
 }
 
 const INITIAL_CAPACITY_BYTES = 1024;
 const GROWTH_FACTOR = 2;
 
+/** From here on a block has pages of its own. */
+const PAGED_BLOCK_BYTES = 131_072;
+
+/** Constructor of a resizable buffer, which the type declarations lack. */
+type ResizableConstructor = new (
+  bytes: number,
+  options: {maxByteLength: number},
+) => ArrayBuffer;
+
+/**
+ * Allocates a block. The pages of a resizable buffer are returned to the system when
+ * it is collected; large blocks from the heap of the C library leave gaps in it, which
+ * cost up to 50 MB under many bodies of 4 MB.
+ */
+function createBlock(bytes: number): Buffer {
+  if (bytes < PAGED_BLOCK_BYTES) {
+    return Buffer.allocUnsafeSlow(bytes);
+  }
+  const pages = new (ArrayBuffer as unknown as ResizableConstructor)(bytes, {
+    maxByteLength: bytes,
+  });
+  return Buffer.from(pages, 0, bytes);
+}
+
 export function createByteBuffer({
   maximumBytes,
+  expectedBytes = 0,
+  reserve = () => true,
 }: ByteBufferOptions): ByteBuffer {
   let block: Buffer = Buffer.alloc(0);
   let length = 0;
 
-  function addCapacity(neededBytes: number): void {
+  /** False if the capacity cannot be had. */
+  function addCapacity(neededBytes: number): boolean {
     if (neededBytes <= block.length) {
-      return;
+      return true;
     }
     const capacity = Math.max(
       neededBytes,
       Math.min(
         maximumBytes,
-        Math.max(INITIAL_CAPACITY_BYTES, block.length * GROWTH_FACTOR),
+        Math.max(
+          INITIAL_CAPACITY_BYTES,
+          expectedBytes,
+          block.length * GROWTH_FACTOR,
+        ),
       ),
     );
-    const grown = Buffer.allocUnsafeSlow(capacity);
+    if (!reserve(capacity)) {
+      return false;
+    }
+    const grown = createBlock(capacity);
     block.copy(grown, 0, 0, length);
     block = grown;
+    return true;
   }
 
   return {
@@ -51,10 +90,9 @@
     },
     append: bytes => {
       const nextLength = length + bytes.length;
-      if (nextLength > maximumBytes) {
+      if (nextLength > maximumBytes || !addCapacity(nextLength)) {
         return false;
       }
-      addCapacity(nextLength);
       block.set(bytes, length);
       length = nextLength;
       return true;
--- a/packages/shared/src/read_pacer.ts
+++ b/packages/shared/src/read_pacer.ts
@@ -74,25 +74,61 @@
   return gate;
 }
 
+/** A body that waits for its turn. */
+interface WaitingBody {
+  resume: () => void;
+  isClosed: () => boolean;
+  /** Gives the body up; undefined if it must not be. */
+  giveUp: (() => void) | undefined;
+}
+
+/**
+ * Bodies in small pieces that may wait at the same time. What each of them has sent
+ * already takes seconds to read, and nobody hears meanwhile that its sender is gone.
+ */
+const MAXIMUM_WAITING = 4;
+
 /** Bodies that wait for a turn; one list for all, as there is one event loop. */
-const waiting: Array<() => void> = [];
+let waiting: WaitingBody[] = [];
+let isScheduled = false;
 
 /** Lets one body go on in each turn, however many wait. */
 function resumeNext(): void {
-  waiting.shift()?.();
-  if (waiting.length > 0) {
+  const closed = waiting.filter(body => body.isClosed());
+  closed.forEach(body => body.resume());
+  waiting = waiting.filter(body => !closed.includes(body));
+  waiting.shift()?.resume();
+  isScheduled = waiting.length > 0;
+  if (isScheduled) {
     setImmediate(resumeNext);
   }
 }
 
-function waitForTurn(resume: () => void): void {
-  waiting.push(resume);
-  if (waiting.length === 1) {
+function waitForTurn(body: WaitingBody): void {
+  if (body.giveUp && waiting.length >= MAXIMUM_WAITING) {
+    body.giveUp();
+    return;
+  }
+  waiting.push(body);
+  if (!isScheduled) {
+    isScheduled = true;
     setImmediate(resumeNext);
   }
 }
 
-export function createReadPacer(body: PacedBody): ReadPacer {
+/** Options of {@link createReadPacer}. */
+export interface ReadPacerOptions {
+  /**
+   * Called if too many other bodies in small pieces wait; it closes the connection
+   * of this one. Without it, the body waits in any case.
+   */
+  onCrowded?: () => void;
+}
+
+export function createReadPacer(
+  body: PacedBody,
+  {onCrowded}: ReadPacerOptions = {},
+): ReadPacer {
   let pieces = 0;
   let isPausedByConsumer = false;
   let isWaitingForTurn = false;
@@ -114,9 +150,13 @@
 
   function endTurn(): void {
     updateGate();
-    waitForTurn(() => {
-      isWaitingForTurn = false;
-      updateGate();
+    waitForTurn({
+      resume: () => {
+        isWaitingForTurn = false;
+        updateGate();
+      },
+      isClosed: () => body.destroyed,
+      giveUp: onCrowded,
     });
   }
 
