feat(gateway): one budget for the memory of bodies and responses

Connections had no limit.

Change: createMemoryBudget counts all of them. At the limit, bodies without a known key and bodies that have stopped give way. The key is checked from the head, and bodies that will be refused are dropped while they are read. Released buffers count until they are collected. Connections of clients are bounded by the descriptors of the machine. Settings machine.memoryMb and machine.maximumDescriptors; without them only the limits of before apply.

Ruled out: a counting by V8's external memory (it is out of date after a collection); as the rule at the limit, reading no faster than the budget allows (docs/design/caller_limits.md).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,14 +7,20 @@
   waitFor,
 } from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
-import {checkAccess, computeAuthoritativeAge} from './http/access.js';
-import type {GrantedAccess} from './http/access.js';
+import {
+  checkAccess,
+  checkHead,
+  computeAuthoritativeAge,
+} from './http/access.js';
+import type {AccessOptions, GrantedAccess} from './http/access.js';
 import {createCallerServer} from './http/caller_server.js';
 import type {CallerServer} from './http/caller_server.js';
 import {createQuarantineHandler} from './http/quarantine_handler.js';
 import {createStatusHandlers} from './http/status_handlers.js';
 import {createStatusServers} from './http/status_server.js';
 import {createLogWriter} from './log_writer.js';
+import {createMachineMemory} from './memory/machine_memory.js';
+import {computeConnectionLimits} from './memory/machine_limits.js';
 import {createGatewayMetrics} from './metrics.js';
 import type {BackendServer, RequestMetadata} from './model.js';
 import {createGossipTask} from './peers/gossip_task.js';
@@ -250,7 +256,19 @@
     countQuarantined: () => quarantine.list(clock.now()).length,
     countLimitedServers: () => statements.count(StatementKind.LIMIT),
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
+    getHeldBytes: () => memory.heldBytes,
+    countCallerConnections: () => callerServer.countConnections(),
+  });
+
+  const {memory, reports} = createMachineMemory({
+    machine: settings.machine,
+    clock,
+    logger,
+    onRefusal: reason => metrics.countLimit(reason),
   });
+  const {maximumConnections, maximumRequests} = computeConnectionLimits(
+    settings.machine,
+  );
 
   const connections = createServerConnections({
     onOpen: () => metrics.countConnection(),
@@ -288,6 +306,15 @@
 
   const authoritativeAgeMs = computeAuthoritativeAge(settings.store.applyMs);
 
+  function getAccessOptions(): AccessOptions {
+    return {
+      clusterState,
+      maximumKeyAgeMs: keyTrust.maximumAgeMs,
+      authoritativeAgeMs,
+      now: clock.now(),
+    };
+  }
+
   async function grantAccess(
     metadata: RequestMetadata,
   ): Promise<GrantedAccess> {
@@ -298,12 +325,7 @@
       await waitFor(DISCONNECT_READ_MS);
     }
     await keyTrust.waitForConfirmation(metadata.deadlineMs);
-    return checkAccess(metadata, {
-      clusterState,
-      maximumKeyAgeMs: keyTrust.maximumAgeMs,
-      authoritativeAgeMs,
-      now: clock.now(),
-    });
+    return checkAccess(metadata, getAccessOptions());
   }
 
   const callerServer: CallerServer = createCallerServer({
@@ -321,6 +343,11 @@
       random: Math.random,
     },
     grantAccess,
+    checkHead: metadata => checkHead(metadata, getAccessOptions()),
+    memory,
+    maximumConnections,
+    maximumRelayedRequests: maximumRequests,
+    reports,
     getLimits: () => clusterState.getConfiguration()?.limits,
     describeClusterState: () => ({
       version: clusterState.getConfiguration()?.version,
--- a/packages/gateway/src/http/access.ts
+++ b/packages/gateway/src/http/access.ts
@@ -1,5 +1,5 @@
 /** Finds the route of a request and checks its API key. */
-import {RouterError} from '@buckthornbeam/shared';
+import {RouterError, toRouterError} from '@buckthornbeam/shared';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {ClusterState} from '../state/cluster_state.js';
 import {getUrgencyRanks} from '../state/request_urgency.js';
@@ -28,6 +28,17 @@
   urgency: RequestUrgency;
 }
 
+/** What the head of a request tells of its access, before the body is read. */
+export const HeadAccess = {
+  /** The key is that of a customer, or no keys are in use. */
+  KNOWN_KEY: 'known_key',
+  /** Only the check after the body decides. */
+  UNDECIDED: 'undecided',
+  /** The request will be refused, so that its body need not be kept. */
+  REFUSED: 'refused',
+} as const;
+export type HeadAccess = (typeof HeadAccess)[keyof typeof HeadAccess];
+
 /** Leaves time for the way of an answer to the caller. */
 const AUTHORITATIVE_RATIO = 0.9;
 
@@ -95,3 +106,28 @@
   }
   return {route, customer, urgency: ranks.rank(route, customer)};
 }
+
+const FINAL_CODES: ReadonlySet<string> = new Set([
+  'unknown_customer',
+  'unknown_route',
+]);
+
+/**
+ * Checks a request by its head. The check after the body decides: the answer is the
+ * same as if it were the only one, also for a key that is revoked meanwhile.
+ */
+export function checkHead(
+  metadata: RequestMetadata,
+  options: AccessOptions,
+): HeadAccess {
+  try {
+    const {customer} = checkAccess(metadata, options);
+    const usesKeys =
+      options.clusterState.getConfiguration()?.customersByKey !== undefined;
+    return customer || !usesKeys ? HeadAccess.KNOWN_KEY : HeadAccess.UNDECIDED;
+  } catch (error) {
+    return FINAL_CODES.has(toRouterError(error).code)
+      ? HeadAccess.REFUSED
+      : HeadAccess.UNDECIDED;
+  }
+}
--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -15,6 +15,15 @@
   waitForAnswers(socket: Socket, run: () => void): void;
   /** Closes the connections without a request, also without a part of one. */
   closeIdle(): void;
+  count(): number;
+}
+
+/** Options of {@link createCallerConnections}. */
+export interface CallerConnectionsOptions {
+  /** Connections that may be open; Infinity by default. */
+  maximumConnections?: number;
+  /** Called when a connection is closed because too many are open. */
+  onFull?: () => void;
 }
 
 interface ConnectionState {
@@ -26,16 +35,66 @@
   onIdle: (() => void) | undefined;
 }
 
+/** Order in which connections are closed when too many are open; the lowest first. */
+function rankIdle(socket: Socket, {openRequests, usedBytes}: ConnectionState) {
+  if (openRequests.size > 0) {
+    return undefined;
+  }
+  if (usedBytes === 0) {
+    return socket.bytesRead === 0 ? 0 : 1;
+  }
+  return socket.bytesRead === usedBytes ? 3 : 2;
+}
+
 /** A request with a body that is not complete is not passed on. */
 function hasCompleteRequest({openRequests}: ConnectionState): boolean {
   return [...openRequests].some(request => request.complete);
 }
 
 /** Follows the connections of a server from now on. */
-export function createCallerConnections(server: Server): CallerConnections {
+export function createCallerConnections(
+  server: Server,
+  {
+    maximumConnections = Infinity,
+    onFull = () => undefined,
+  }: CallerConnectionsOptions = {},
+): CallerConnections {
   const connections = new Map<Socket, ConnectionState>();
 
+  /** Finds the oldest of the connections that are missed least. */
+  function findIdlest(): Socket | undefined {
+    let idlest: Socket | undefined;
+    let lowest = Infinity;
+    for (const [socket, state] of connections) {
+      const rank = rankIdle(socket, state);
+      if (rank !== undefined && rank < lowest) {
+        lowest = rank;
+        idlest = socket;
+      }
+      if (lowest === 0) {
+        break;
+      }
+    }
+    return idlest;
+  }
+
+  function closeIdlest(): void {
+    const socket = findIdlest();
+    if (socket) {
+      connections.delete(socket);
+      socket.destroy();
+    }
+  }
+
   server.on('connection', (socket: Socket) => {
+    if (connections.size >= maximumConnections) {
+      onFull();
+      closeIdlest();
+    }
+    if (connections.size >= maximumConnections) {
+      socket.destroy();
+      return;
+    }
     connections.set(socket, {
       openRequests: new Set(),
       usedBytes: 0,
@@ -45,6 +104,7 @@
   });
 
   return {
+    count: () => connections.size,
     recordRequest: (request, response) => {
       const {socket} = request;
       const state = connections.get(socket);
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -6,6 +6,11 @@
 import {RouterError, splitAddress, toRouterError} from '@buckthornbeam/shared';
 import type {Clock, LogFields, Logger} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
+import {createMemoryBudget} from '../memory/memory_budget.js';
+import type {MemoryBudget} from '../memory/memory_budget.js';
+import {createRequestMemory} from '../memory/request_memory.js';
+import type {RequestMemory} from '../memory/request_memory.js';
+import type {LimitReports} from '../memory/limit_reports.js';
 import type {CallerLimits, RequestMetadata, Route} from '../model.js';
 import type {CallerDialect} from '../ports.js';
 import {createCallerAnswer} from '../relay/caller_answer.js';
@@ -13,8 +18,15 @@
 import {isSuccess} from '../relay/attempt.js';
 import {relayRequest} from '../relay/request_relay.js';
 import type {AcceptedRequest, RelayContext} from '../relay/request_relay.js';
+import {HeadAccess} from './access.js';
 import type {GrantedAccess} from './access.js';
+import {INITIAL_LIMITS, assertHeaderSize} from './caller_limits.js';
 import {createCallerConnections} from './caller_connections.js';
+import {
+  answerParserError,
+  keepForRefusal,
+  waitForClose,
+} from './caller_sockets.js';
 import {readBody} from './request_body.js';
 import {
   describeInterrupted,
@@ -35,8 +47,17 @@
   /** Log fields with the version and age of the cluster state. */
   describeClusterState: () => LogFields;
   maximumOpenRequests: number;
+  /** Requests relayed at the same time; Infinity by default. */
+  maximumRelayedRequests?: number;
   /** Limit on the request bodies in memory. */
   maximumHeldBytes: number;
+  /** Tells from the head of a request what its key is; undecided by default. */
+  checkHead?: (metadata: RequestMetadata) => HeadAccess;
+  /** Memory for bodies and responses; without a limit by default. */
+  memory?: MemoryBudget;
+  /** Connections of callers that may be open; Infinity by default. */
+  maximumConnections?: number;
+  reports?: LimitReports;
   clock: Clock;
   logger: Logger;
   metrics: GatewayMetrics;
@@ -46,6 +67,7 @@
   start(): Promise<void>;
   /** Counts requests whose answer is not yet handed over to the last byte. */
   countOpen(): number;
+  countConnections(): number;
   /**
    * Closes each connection after its next answer. A request is refused unless it can
    * be expected to end before the time of the clock at which open requests end.
@@ -63,15 +85,10 @@
   log: RequestLog;
   answer: CallerAnswer;
   response: ServerResponse;
+  /** Memory of the body and of the response. */
+  memory: RequestMemory;
 }
 
-/** Limits until a configuration is available. */
-const INITIAL_LIMITS: CallerLimits = {
-  maximumHeaderBytes: 16_384,
-  maximumBodyBytes: 4_194_304,
-  headerTimeoutMs: 5000,
-  idleTimeoutMs: 15_000,
-};
 /** Above any configured limit, so that the configured limit is the one enforced. */
 const PARSER_MAXIMUM_HEADER_BYTES = 65_536;
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -85,57 +102,13 @@
 /** Bounds the log lines of one stop. */
 const MAXIMUM_INTERRUPTED_LINES = 50;
 
-function countHeaderBytes(headers: readonly string[]): number {
-  let bytes = 0;
-  for (const text of headers) {
-    bytes += text.length + 2;
-  }
-  return bytes;
-}
-
-/** Answers a request that the HTTP parser rejects and closes the connection. */
-function answerParserError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const statuses: Readonly<Record<string, string>> = {
-    HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-    ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-  };
-  const status = statuses[error.code ?? ''] ?? '400 Bad Request';
-  socket.end(
-    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-  );
-}
-
-/**
- * Resolves when the answer is handed over, or its connection is closed. Answers to
- * pipelined requests that wait for an earlier one do not hear of the close.
- */
-async function waitForClose(
-  socket: Socket,
-  response: ServerResponse,
-): Promise<void> {
-  if (response.closed || socket.destroyed) {
-    return;
-  }
-  await new Promise<void>(resolve => {
-    function finish(): void {
-      response.off('close', finish);
-      socket.off('close', finish);
-      resolve();
-    }
-    response.on('close', finish);
-    socket.on('close', finish);
-  });
-}
-
 /** Creates a server; it does not listen before `start` is called. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const {dialect, relay, clock, logger, metrics} = options;
+  const {dialect, relay, clock, logger, metrics, reports} = options;
+  const memory = options.memory ?? createMemoryBudget({clock});
   const openRequests = new Set<OpenRequest>();
   let bufferedBytes = 0;
+  let relayedRequests = 0;
   let isRefusing = false;
   let stopStartedAt: number | undefined;
   /** When open requests end, in local time; Infinity while the instance does not stop. */
@@ -149,17 +122,6 @@
     return options.getLimits() ?? INITIAL_LIMITS;
   }
 
-  function assertHeaderSize(request: IncomingMessage): void {
-    const {maximumHeaderBytes} = getLimits();
-    const bytes = countHeaderBytes(request.rawHeaders);
-    if (bytes > maximumHeaderBytes) {
-      throw new RouterError(
-        'headers_too_large',
-        `the headers have ${bytes} bytes, above the limit`,
-      );
-    }
-  }
-
   function buildLeavingError(): RouterError {
     return new RouterError('leaving', 'the instance is stopping', {
       retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
@@ -194,16 +156,17 @@
     if (isRefusing) {
       throw buildLeavingError();
     }
+    const {maximumRelayedRequests = Infinity} = options;
     const isFull =
       openRequests.size > options.maximumOpenRequests ||
+      relayedRequests >= maximumRelayedRequests ||
       bufferedBytes > options.maximumHeldBytes;
     if (isFull) {
+      reports?.record('requests');
       throw new RouterError(
         'entry_full',
         `${openRequests.size} requests are open`,
-        {
-          retryAfterMs: OVERLOAD_RETRY_AFTER_MS,
-        },
+        {retryAfterMs: OVERLOAD_RETRY_AFTER_MS},
       );
     }
   }
@@ -211,23 +174,38 @@
   async function acceptRequest(
     request: IncomingMessage,
     callerGone: AbortSignal,
-    log: RequestLog,
+    {log, memory: requestMemory}: OpenRequest,
   ): Promise<AcceptedRequest> {
-    assertHeaderSize(request);
+    const limits = getLimits();
+    assertHeaderSize(request, limits);
     const {method = 'GET', url = '/', rawHeaders} = request;
     const metadata = dialect.readRequest(url, rawHeaders);
     log.metadata = metadata;
-    const {maximumBodyBytes, headerTimeoutMs} = getLimits();
+    const {maximumBodyBytes, headerTimeoutMs} = limits;
+    const headAccess = options.checkHead?.(metadata) ?? HeadAccess.UNDECIDED;
+    requestMemory.setKnown(headAccess === HeadAccess.KNOWN_KEY);
     const body = await readBody(request, {
       maximumBytes: maximumBodyBytes,
       idleTimeoutMs: headerTimeoutMs,
       timeLimitMs: metadata.deadlineMs,
       stopSignal: stopping.signal,
+      isDiscarded: headAccess === HeadAccess.REFUSED,
+      openAccount: evict => requestMemory.openBody(evict),
+      countRead: bytes => memory.countRead(bytes),
+      onCrowded: () => reports?.record('small_pieces'),
     });
+    requestMemory.markComplete();
     bufferedBytes += body.length;
     log.bodyBytes = body.length;
     assertCapacity();
     const {route, customer, urgency} = await options.grantAccess(metadata);
+    if (headAccess === HeadAccess.REFUSED) {
+      throw new RouterError(
+        'stale_knowledge',
+        'the key came into force while the request was received',
+        {retryAfterMs: OVERLOAD_RETRY_AFTER_MS},
+      );
+    }
     assertCanEnd(route, metadata, log.receivedAt);
     log.route = route.name;
     log.customer = customer?.name;
@@ -245,9 +223,51 @@
       body,
       receivedAt: log.receivedAt,
       disconnectSignal: callerGone,
+      memory: requestMemory,
     };
   }
 
+  async function relayAccepted(
+    request: IncomingMessage,
+    openRequest: OpenRequest,
+    callerGone: AbortSignal,
+  ): Promise<void> {
+    const {log, answer} = openRequest;
+    const accepted = await acceptRequest(request, callerGone, openRequest);
+    const relayedAt = clock.now();
+    relayedRequests += 1;
+    log.report = await relayRequest(accepted, answer, {
+      ...relay,
+      stopSignal: stopping.signal,
+    }).finally(() => {
+      relayedRequests -= 1;
+    });
+    // Other failures, and callers that left, end before the answer would.
+    const isMeasured = log.report.error
+      ? log.report.error.code === 'deadline_passed'
+      : isSuccess(answer.status) && !callerGone.aborted;
+    if (isMeasured) {
+      admission.observe(accepted.route, clock.now() - relayedAt);
+    }
+  }
+
+  /** Answers with an error; the rest of a body that is still sent is dropped. */
+  function refuseRequest(
+    request: IncomingMessage,
+    {answer, response}: OpenRequest,
+    error: RouterError,
+  ): void {
+    if (!request.complete) {
+      // The parser would take unread bytes of the body for the next request.
+      response.shouldKeepAlive = false;
+      if (error.code === 'entry_full' || error.code === 'body_too_large') {
+        const {maximumBodyBytes} = getLimits();
+        keepForRefusal(request, response, {maximumBytes: maximumBodyBytes});
+      }
+    }
+    answer.sendError(error);
+  }
+
   function logRequest(
     log: RequestLog,
     answer: CallerAnswer,
@@ -286,11 +306,17 @@
   ): Promise<void> {
     const disconnect = new AbortController();
     const log: RequestLog = {receivedAt: clock.now()};
+    const requestMemory = createRequestMemory({
+      budget: memory,
+      closeResponse: () => response.destroy(),
+    });
     const answer = createCallerAnswer({
       response,
       mustCloseConnection: () => requestsEndAt !== Infinity,
+      onBuffered: (bytes, isComplete) =>
+        requestMemory.setUnread(bytes, isComplete),
     });
-    const openRequest = {log, answer, response};
+    const openRequest = {log, answer, response, memory: requestMemory};
     openRequests.add(openRequest);
     response.on('close', () => {
       if (!response.writableFinished) {
@@ -298,31 +324,17 @@
       }
     });
     try {
-      const accepted = await acceptRequest(request, disconnect.signal, log);
-      const relayedAt = clock.now();
-      log.report = await relayRequest(accepted, answer, {
-        ...relay,
-        stopSignal: stopping.signal,
-      });
-      // Other failures, and callers that left, end before the answer would.
-      const isMeasured = log.report.error
-        ? log.report.error.code === 'deadline_passed'
-        : isSuccess(answer.status) && !disconnect.signal.aborted;
-      if (isMeasured) {
-        admission.observe(accepted.route, clock.now() - relayedAt);
-      }
+      await relayAccepted(request, openRequest, disconnect.signal);
     } catch (error) {
       log.error = toRouterError(error);
-      if (!request.complete) {
-        // The parser would take unread bytes of the body for the next request.
-        response.shouldKeepAlive = false;
-      }
-      answer.sendError(log.error);
+      refuseRequest(request, openRequest, log.error);
     } finally {
       bufferedBytes -= log.bodyBytes ?? 0;
+      requestMemory.endRelay();
       logRequest(log, answer, disconnect.signal.aborted);
       // The last bytes may still wait for a slow caller.
       await waitForClose(request.socket, response);
+      requestMemory.release();
       openRequests.delete(openRequest);
     }
   }
@@ -342,7 +354,10 @@
       void serveRequest(request, response);
     },
   );
-  const connections = createCallerConnections(server);
+  const connections = createCallerConnections(server, {
+    maximumConnections: options.maximumConnections ?? Infinity,
+    onFull: () => reports?.record('connections'),
+  });
   server.on('clientError', (error, socket) => {
     // Before that answer, the status would be taken for that of its request.
     connections.waitForAnswers(socket as Socket, () =>
@@ -363,6 +378,7 @@
         });
       }),
     countOpen: () => openRequests.size,
+    countConnections: () => connections.count(),
     beginDrain: endAt => {
       stopStartedAt ??= clock.now();
       requestsEndAt = endAt;
--- a/packages/gateway/src/http/request_body.ts
+++ b/packages/gateway/src/http/request_body.ts
@@ -5,6 +5,7 @@
   createByteBuffer,
   createReadPacer,
 } from '@buckthornbeam/shared';
+import type {MemoryAccount} from '../memory/memory_budget.js';
 
 export interface ReadBodyOptions {
   maximumBytes: number;
@@ -14,14 +15,32 @@
   timeLimitMs?: number | undefined;
   /** Aborted when the instance ends the requests that are still open. */
   stopSignal?: AbortSignal;
+  /** Opens the account of the body; `evict` refuses the body to free its memory. */
+  openAccount?: (evict: () => void) => MemoryAccount;
+  /** Counts the bytes of each piece, which are copied or dropped. */
+  countRead?: (bytes: number) => void;
+  /** Whether to drop the bytes, of a request that will be refused; false by default. */
+  isDiscarded?: boolean;
+  /** Called when the body is refused for the many small pieces that it has. */
+  onCrowded?: () => void;
 }
 
 /** Longest delay of a timer of Node.js. */
 const MAXIMUM_TIMER_MS = 2 ** 31 - 1;
 
+/** Time until memory is likely to be free again. */
+const MEMORY_RETRY_MS = 300;
+
+function buildMemoryError(detail: string): RouterError {
+  return new RouterError('entry_full', detail, {
+    retryAfterMs: MEMORY_RETRY_MS,
+  });
+}
+
 /**
  * Reads a complete body.
- * @throws RouterError `body_too_large`, `request_timeout`, `cancelled`, `leaving`
+ * @throws RouterError `body_too_large`, `request_timeout`, `cancelled`, `leaving`,
+ *   `entry_full`
  */
 export function readBody(
   request: IncomingMessage,
@@ -37,8 +56,22 @@
     );
   }
   return new Promise((resolve, reject) => {
-    const received = createByteBuffer({maximumBytes: options.maximumBytes});
-    const pacer = createReadPacer(request);
+    const account = options.openAccount?.(() =>
+      fail(buildMemoryError('the memory of the body is needed by others')),
+    );
+    const received = createByteBuffer({
+      maximumBytes: options.maximumBytes,
+      expectedBytes: declaredBytes,
+      reserve: bytes => account?.resize(bytes) ?? true,
+    });
+    const pacer = createReadPacer(request, {
+      onCrowded: () => {
+        options.onCrowded?.();
+        fail(buildMemoryError('the body has too many small pieces'));
+      },
+    });
+    let receivedBytes = 0;
+    let isSettled = false;
     function failLate(): void {
       fail(
         new RouterError(
@@ -56,40 +89,62 @@
       fail(new RouterError('leaving', 'the instance is stopping'));
     }
     options.stopSignal?.addEventListener('abort', failStopped);
-    function clearTimers(): void {
+    function settle(): void {
+      isSettled = true;
       clearTimeout(idleTimer);
       clearTimeout(endTimer);
       options.stopSignal?.removeEventListener('abort', failStopped);
     }
     function fail(error: RouterError): void {
-      clearTimers();
+      settle();
+      // The bytes are of no use, although the request may stay open for long.
+      received.takeAll();
+      account?.release();
       reject(error);
     }
-    request.on('data', (chunk: Buffer) => {
-      idleTimer.refresh();
-      pacer.countPieces(1);
-      if (!received.append(chunk)) {
+    /** Fails a body that has not ended; a complete one may be in use. */
+    function failOpen(error: RouterError): void {
+      if (!isSettled) {
+        fail(error);
+      }
+    }
+    function addPiece(piece: Buffer): void {
+      receivedBytes += piece.length;
+      account?.recordProgress();
+      if (receivedBytes > options.maximumBytes) {
         fail(
           new RouterError(
             'body_too_large',
             `the body exceeds the limit of ${options.maximumBytes} bytes`,
           ),
         );
+      } else if (!options.isDiscarded && !received.append(piece)) {
+        fail(buildMemoryError('no memory is left for the body'));
+      }
+    }
+    request.on('data', (chunk: Buffer) => {
+      idleTimer.refresh();
+      pacer.countPieces(1);
+      options.countRead?.(chunk.length);
+      if (!isSettled) {
+        addPiece(chunk);
       }
     });
     request.on('end', () => {
-      clearTimers();
-      resolve(received.takeAll());
+      if (!isSettled) {
+        settle();
+        resolve(received.takeAll());
+      }
     });
     request.on('error', error => {
-      fail(
+      failOpen(
         new RouterError('cancelled', 'the caller disconnected', {
           cause: error as Error,
         }),
       );
     });
     request.on('close', () => {
-      fail(new RouterError('cancelled', 'the caller disconnected'));
+      failOpen(new RouterError('cancelled', 'the caller disconnected'));
     });
   });
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -16,6 +16,8 @@
   countStoreRead(isSuccess: boolean): void;
   /** Counts a change of what a server states in its answers. */
   countStatement(change: StatementChange): void;
+  /** Counts what was refused or closed for a limit of the machine. */
+  countLimit(reason: string): void;
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string>;
 }
@@ -29,6 +31,9 @@
   countQuarantined: () => number;
   countLimitedServers: () => number;
   getLongestPauseMs: () => number;
+  /** Memory of bodies and responses; 0 by default. */
+  getHeldBytes?: () => number;
+  countCallerConnections?: () => number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -76,6 +81,12 @@
     help: 'Connections opened to backend servers.',
     registers,
   });
+  const limits = new Counter({
+    name: 'buckthornbeam_limit_refusals_total',
+    help: 'Requests and connections refused or closed for a limit of the machine.',
+    labelNames: ['reason'],
+    registers,
+  });
   const storeReads = new Counter({
     name: 'buckthornbeam_store_reads_total',
     help: 'Reads of the store, by result.',
@@ -104,6 +115,16 @@
       'Version of the configuration in force.',
       sources.getConfigurationVersion,
     ],
+    [
+      'buckthornbeam_held_bytes',
+      'Memory of the bodies and responses of open requests.',
+      () => sources.getHeldBytes?.() ?? 0,
+    ],
+    [
+      'buckthornbeam_caller_connections',
+      'Open connections of callers.',
+      () => sources.countCallerConnections?.() ?? 0,
+    ],
     ['buckthornbeam_peers', 'Instances heard of lately.', sources.countPeers],
     [
       'buckthornbeam_quarantined_prompts',
@@ -144,6 +165,7 @@
       storeReads.inc({result: isSuccess ? 'read' : 'failed'}),
     countStatement: ({kind, type}) =>
       statements.inc({statement: kind, change: type}),
+    countLimit: reason => limits.inc({reason}),
     render: () => registry.metrics(),
   };
 }
--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -72,6 +72,10 @@
   dialect: ServerDialect;
   /** Largest answer that is buffered, in bytes. */
   maximumBodyBytes: number;
+  /** Called with the capacity of the buffer before it grows; false ends the attempt. */
+  reserve?: (capacityBytes: number) => boolean;
+  /** Called with the bytes that were read from the server. */
+  onRead?: (bytes: number) => void;
   /** Present for routes whose answers are event streams. */
   sink?: StreamSink;
   /** The caller has the first part of the stream, so that nothing may be left of it. */
@@ -157,10 +161,12 @@
 
 export function startAttempt(options: AttemptOptions): Attempt {
   const {dialect, sink, onActivity = () => undefined} = options;
+  const {reserve = () => true} = options;
   const splitter = createEventSplitter({
     maximumEventBytes: MAXIMUM_EVENT_BYTES,
+    reserve,
   });
-  const body = createByteBuffer({maximumBytes: options.maximumBodyBytes});
+  let body = createByteBuffer({maximumBytes: 0});
   let head: AnswerHead | undefined;
   let hasSentHead = false;
   let isStream = false;
@@ -200,6 +206,11 @@
 
   function readHead(incoming: IncomingMessage, isReused: boolean): void {
     onActivity();
+    body = createByteBuffer({
+      maximumBytes: options.maximumBodyBytes,
+      expectedBytes: Number(incoming.headers['content-length'] ?? 0),
+      reserve,
+    });
     const status = incoming.statusCode ?? 0;
     const received: AnswerHead = {
       status,
@@ -253,6 +264,8 @@
   }
 
   function readData(bytes: Buffer): number {
+    // node:http reads into a buffer and copies each part of the body.
+    options.onRead?.(2 * bytes.length);
     if (isStream) {
       return readEvents(bytes);
     }
--- a/packages/gateway/src/relay/caller_answer.ts
+++ b/packages/gateway/src/relay/caller_answer.ts
@@ -9,6 +9,11 @@
   response: ServerResponse;
   /** Whether to close the connection after this answer. */
   mustCloseConnection: () => boolean;
+  /**
+   * Called with the bytes that wait for the caller, whenever they change. `isComplete`
+   * tells that they are the rest of a buffered answer.
+   */
+  onBuffered?: (bytes: number, isComplete: boolean) => void;
 }
 
 export interface CallerAnswer {
@@ -80,6 +85,9 @@
 /** The forwarded length is that of the buffered body. */
 const RECOMPUTED_HEADERS = new Set(['content-length']);
 
+/** Larger than most bodies, which are written at once. */
+const PIECE_BYTES = 262_144;
+
 function encodeError(error: RouterError): string {
   const {title} = errorTable[error.code];
   return JSON.stringify({
@@ -93,7 +101,11 @@
 }
 
 export function createCallerAnswer(options: CallerAnswerOptions): CallerAnswer {
-  const {response, mustCloseConnection: isLast} = options;
+  const {
+    response,
+    mustCloseConnection: isLast,
+    onBuffered = () => undefined,
+  } = options;
   let status = 0;
 
   function writeHead(nextStatus: number, headers: string[]): void {
@@ -105,6 +117,31 @@
     response.writeHead(nextStatus, headers);
   }
 
+  /** Writes a body piece by piece, so that a caller that reads can be told apart. */
+  function writePieces(body: Buffer): void {
+    if (body.length <= PIECE_BYTES) {
+      response.end(body);
+      onBuffered(body.length, true);
+      return;
+    }
+    let written = 0;
+    function writeMore(): void {
+      let canGoOn = true;
+      while (canGoOn && written + PIECE_BYTES < body.length) {
+        const piece = body.subarray(written, written + PIECE_BYTES);
+        written += piece.length;
+        canGoOn = response.write(piece);
+      }
+      onBuffered(body.length - written + response.writableLength, true);
+      if (canGoOn) {
+        response.off('drain', writeMore);
+        response.end(body.subarray(written));
+      }
+    }
+    response.on('drain', writeMore);
+    writeMore();
+  }
+
   return {
     get hasBegun() {
       return status !== 0;
@@ -118,12 +155,16 @@
         headers.push('Content-Length', String(body.length));
       }
       writeHead(head.status, headers);
-      response.end(body);
+      writePieces(body);
     },
     beginStream: head => {
       writeHead(head.status, selectEndToEnd(head.headers));
     },
-    sendChunk: bytes => response.write(bytes),
+    sendChunk: bytes => {
+      const canGoOn = response.write(bytes);
+      onBuffered(response.writableLength, false);
+      return canGoOn;
+    },
     endStream: () => {
       response.end();
     },
@@ -146,7 +187,10 @@
       response.end(body);
     },
     onDrain: resume => {
-      response.on('drain', resume);
+      response.on('drain', () => {
+        onBuffered(response.writableLength, false);
+        resume();
+      });
     },
   };
 }
--- a/packages/gateway/src/relay/event_splitter.ts
+++ b/packages/gateway/src/relay/event_splitter.ts
@@ -50,6 +50,8 @@
 export interface EventSplitterOptions {
   /** Largest incomplete event that is buffered. */
   maximumEventBytes?: number;
+  /** Called with the capacity of the buffer before it grows; false overflows it. */
+  reserve?: (capacityBytes: number) => boolean;
 }
 
 /** The end of an event may begin this many bytes before the next piece. */
@@ -60,8 +62,12 @@
 
 export function createEventSplitter({
   maximumEventBytes = DEFAULT_MAXIMUM_EVENT_BYTES,
+  reserve = () => true,
 }: EventSplitterOptions = {}): EventSplitter {
-  const buffered = createByteBuffer({maximumBytes: maximumEventBytes});
+  const buffered = createByteBuffer({
+    maximumBytes: maximumEventBytes,
+    reserve,
+  });
   let hasOverflowed = false;
 
   /** Finds the end of the buffered event in the next piece; -1 if it has none. */
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -7,6 +7,7 @@
 import type {EnginePlacement} from '@buckthornbeam/decisions';
 import {Outcome, RouterError} from '@buckthornbeam/shared';
 import type {Clock} from '@buckthornbeam/shared';
+import type {RequestMemory} from '../memory/request_memory.js';
 import {RouteKind} from '../model.js';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
@@ -60,6 +61,8 @@
   receivedAt: number;
   /** Aborted when the caller disconnects. */
   disconnectSignal: AbortSignal;
+  /** Counts the memory of responses; not counted by default. */
+  memory?: RequestMemory;
 }
 
 /** Outcome of a request, for the log and metrics. */
@@ -281,6 +284,7 @@
     report.sentMs.push(sentAt - receivedAt);
     report.placement = selected.placement;
     report.isDiverted ||= selected.isDiverted;
+    const responseMemory = request.memory?.openResponse();
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
@@ -300,6 +304,8 @@
       isResumed: route.isResumable && lastEventId !== undefined,
       dialect: context.dialect,
       maximumBodyBytes: context.maximumAnswerBytes,
+      reserve: bytes => responseMemory?.resize(bytes) ?? true,
+      onRead: bytes => request.memory?.countRead(bytes),
       onHead: () => tracker.recordHead(),
       onStatement: statement =>
         selection.recordStatement(server, statement, {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -101,6 +101,14 @@
       maximumHeldBytes: z.number().int().positive().default(48_000_000),
     })
     .prefault({}),
+  machine: z
+    .object({
+      /** Memory of the machine; bodies and responses have no common limit without it. */
+      memoryMb: z.number().positive().optional(),
+      /** File descriptors of the process; connections have no limit without it. */
+      maximumDescriptors: z.number().int().positive().optional(),
+    })
+    .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
 });
 
