feat(gateway): the first read of each connection counts towards the turn

Cause: a body is held after its first read of up to 11,000 small chunks, so that sixty connections that begin in one turn of the event loop were all read in it.

Change: after 16,384 pieces in a turn, all connections of callers are held until the next one. A connection that was paused before its gate existed is not resumed by it.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {addPacedSockets} from '@buckthornbeam/shared';
 
 export interface CallerConnections {
   /** Keeps the connection in use until the answer is handed over. */
@@ -61,6 +62,11 @@
 ): CallerConnections {
   const connections = new Map<Socket, ConnectionState>();
 
+  server.once(
+    'close',
+    addPacedSockets(() => connections.keys()),
+  );
+
   /** Finds the oldest of the connections that are missed least. */
   function findIdlest(): Socket | undefined {
     let idlest: Socket | undefined;
--- a/packages/shared/src/read_pacer.ts
+++ b/packages/shared/src/read_pacer.ts
@@ -40,8 +40,9 @@
 function createSocketGate(socket: Socket): SocketGate {
   const pause = socket.pause.bind(socket);
   const resume = socket.resume.bind(socket);
-  let isHeld = false;
-  let isReadingWanted = true;
+  /** Bodies and turns that hold the connection. */
+  let holds = 0;
+  let isReadingWanted = !socket.isPaused();
   // node:http calls these methods to read ahead and for its own back pressure.
   socket.pause = () => {
     isReadingWanted = false;
@@ -49,16 +50,16 @@
   };
   socket.resume = () => {
     isReadingWanted = true;
-    return isHeld ? socket : resume();
+    return holds > 0 ? socket : resume();
   };
   return {
     hold: () => {
-      isHeld = true;
+      holds += 1;
       pause();
     },
     release: () => {
-      isHeld = false;
-      if (isReadingWanted) {
+      holds -= 1;
+      if (holds === 0 && isReadingWanted && !socket.destroyed) {
         resume();
       }
     },
@@ -74,6 +75,55 @@
   return gate;
 }
 
+/**
+ * Pieces in one turn after which nothing more is read in it. One read of a connection
+ * brings up to 11,000 pieces, which take 20 ms and more.
+ */
+const MAXIMUM_TURN_PIECES = 16_384;
+
+/** Lists connections that may bring many pieces with their next read. */
+type ListSockets = () => Iterable<Socket>;
+
+const socketSources = new Set<ListSockets>();
+let turnPieces = 0;
+
+/**
+ * Holds these connections for the rest of a turn that has read many small pieces, also
+ * the first read of each. The returned function ends that.
+ */
+export function addPacedSockets(listSockets: ListSockets): () => void {
+  socketSources.add(listSockets);
+  return () => socketSources.delete(listSockets);
+}
+
+function pauseUntilNextTurn(): void {
+  const held: SocketGate[] = [];
+  for (const listSockets of socketSources) {
+    for (const socket of listSockets()) {
+      const gate = getSocketGate(socket);
+      gate.hold();
+      held.push(gate);
+    }
+  }
+  setImmediate(() => {
+    turnPieces = 0;
+    held.forEach(gate => gate.release());
+  });
+}
+
+function countTurnPieces(count: number): void {
+  if (turnPieces === 0) {
+    setImmediate(() => {
+      turnPieces = 0;
+    });
+  }
+  const wasFull = turnPieces > MAXIMUM_TURN_PIECES;
+  turnPieces += count;
+  if (!wasFull && turnPieces > MAXIMUM_TURN_PIECES) {
+    process.nextTick(pauseUntilNextTurn);
+  }
+}
+
 /** A body that waits for its turn. */
 interface WaitingBody {
   resume: () => void;
@@ -163,6 +213,7 @@
   return {
     countPieces: count => {
       pieces += count;
+      countTurnPieces(count);
       if (pieces >= PIECES_PER_TURN && !isWaitingForTurn) {
         pieces = 0;
         isWaitingForTurn = true;
