--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -50,6 +50,17 @@
     assert.is(settings.stop.graceMs, 8000);
   });
 
+  it('take limits of the machine, also those it does not state', () => {
+    const machine = {memoryMb: 160, maximumDescriptors: null};
+    const text = JSON.stringify({...SETTINGS, machine});
+    assert.equal(parseGatewaySettings(text).machine, {
+      memoryMb: 160,
+      maximumDescriptors: undefined,
+    });
+    const absent = parseGatewaySettings(JSON.stringify(SETTINGS)).machine;
+    assert.is(absent.memoryMb, undefined);
+  });
+
   it('ignore unknown fields', () => {
     const text = JSON.stringify({...SETTINGS, later: 1});
     assert.is(parseGatewaySettings(text).instanceId, 'i1');
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -7,6 +7,11 @@
   .regex(/^[\w.-]+:\d{1,5}$/, 'expected host:port')
   .refine(text => Number(text.split(':')[1]) <= 65_535, 'port above 65535');
 const millisecondsSchema = z.number().min(0);
+/** A template writes null for what the machine does not state. */
+function buildOptionalLimit(schema: z.ZodNumber) {
+  return schema.nullish().transform(value => value ?? undefined);
+}
+
 const optionalAddressSchema = z
   .string()
   .transform(text => (text === '' ? undefined : text))
@@ -104,9 +109,9 @@
   machine: z
     .object({
       /** Memory of the machine; bodies and responses have no common limit without it. */
-      memoryMb: z.number().positive().optional(),
+      memoryMb: buildOptionalLimit(z.number().positive()),
       /** File descriptors of the process; connections have no limit without it. */
-      maximumDescriptors: z.number().int().positive().optional(),
+      maximumDescriptors: buildOptionalLimit(z.number().int().positive()),
     })
     .prefault({}),
   logLevel: z.enum(Object.values(LogLevel)).default(LogLevel.INFO),
