--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,14 +11,20 @@
   waitFor,
 } from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
-import {checkAccess, computeAuthoritativeAge} from './http/access.js';
-import type {GrantedAccess} from './http/access.js';
+import {
+  checkAccess,
+  checkHead,
+  computeAuthoritativeAge,
+} from './http/access.js';
+import type {AccessOptions, GrantedAccess} from './http/access.js';
 import {createCallerServer} from './http/caller_server.js';
 import type {CallerServer} from './http/caller_server.js';
 import {createQuarantineHandler} from './http/quarantine_handler.js';
 import {createStatusHandlers} from './http/status_handlers.js';
 import {createStatusServers} from './http/status_server.js';
 import {createLogWriter} from './log_writer.js';
+import {createMachineMemory} from './memory/machine_memory.js';
+import {computeConnectionLimits} from './memory/machine_limits.js';
 import {createGatewayMetrics} from './metrics.js';
 import type {BackendServer, RequestMetadata} from './model.js';
 import {createGossipTask} from './peers/gossip_task.js';
@@ -279,7 +285,19 @@
     countPausedServers: () => statements.count(StatementKind.PAUSE),
     countScarceRanks: () => customers?.countScarceRanks(clock.now()) ?? 0,
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
+    getHeldBytes: () => memory.heldBytes,
+    countCallerConnections: () => callerServer.countConnections(),
+  });
+
+  const {memory, reports} = createMachineMemory({
+    machine: settings.machine,
+    clock,
+    logger,
+    onRefusal: reason => metrics.countLimit(reason),
   });
+  const {maximumConnections, maximumRequests} = computeConnectionLimits(
+    settings.machine,
+  );
 
   const connections = createServerConnections({
     onOpen: () => metrics.countConnection(),
@@ -331,6 +349,15 @@
 
   const authoritativeAgeMs = computeAuthoritativeAge(settings.store.applyMs);
 
+  function getAccessOptions(): AccessOptions {
+    return {
+      clusterState,
+      maximumKeyAgeMs: keyTrust.maximumAgeMs,
+      authoritativeAgeMs,
+      now: clock.now(),
+    };
+  }
+
   async function grantAccess(
     metadata: RequestMetadata,
   ): Promise<GrantedAccess> {
@@ -341,12 +368,7 @@
       await waitFor(DISCONNECT_READ_MS);
     }
     await keyTrust.waitForConfirmation(metadata.deadlineMs);
-    return checkAccess(metadata, {
-      clusterState,
-      maximumKeyAgeMs: keyTrust.maximumAgeMs,
-      authoritativeAgeMs,
-      now: clock.now(),
-    });
+    return checkAccess(metadata, getAccessOptions());
   }
 
   const callerServer: CallerServer = createCallerServer({
@@ -366,6 +388,11 @@
       ...(admission ? {admission} : {}),
     },
     grantAccess,
+    checkHead: metadata => checkHead(metadata, getAccessOptions()),
+    memory,
+    maximumConnections,
+    maximumRelayedRequests: maximumRequests,
+    reports,
     getLimits: () => clusterState.getConfiguration()?.limits,
     describeClusterState: () => ({
       version: clusterState.getConfiguration()?.version,
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -6,6 +6,7 @@
 import {ServerOutcome} from '@buckthornbeam/decisions';
 import {Outcome, RouterError} from '@buckthornbeam/shared';
 import type {Clock} from '@buckthornbeam/shared';
+import type {RequestMemory} from '../memory/request_memory.js';
 import {RouteKind} from '../model.js';
 import type {Customer, RequestMetadata, Route} from '../model.js';
 import type {RawHeaders, ServerDialect} from '../ports.js';
@@ -78,6 +79,8 @@
   receivedAt: number;
   /** Aborted when the caller disconnects. */
   disconnectSignal: AbortSignal;
+  /** Counts the memory of responses; not counted by default. */
+  memory?: RequestMemory;
 }
 
 /** A server ends a request at its deadline; this leaves time for its answer to arrive. */
@@ -315,6 +318,7 @@
     report.placement = selected.placement;
     report.isDiverted ||= selected.isDiverted;
     report.loadAgeMs = selected.loadAgeMs;
+    const responseMemory = request.memory?.openResponse();
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
@@ -334,6 +338,8 @@
       isResumed: route.isResumable && lastEventId !== undefined,
       dialect: context.dialect,
       maximumBodyBytes: context.maximumAnswerBytes,
+      reserve: bytes => responseMemory?.resize(bytes) ?? true,
+      onRead: bytes => request.memory?.countRead(bytes),
       onHead: () => tracker.recordHead(),
       onStatement: statement =>
         selection.recordStatement(server, statement, {
