--- a/packages/decisions/__tests__/support/placement_methods.ts
+++ b/packages/decisions/__tests__/support/placement_methods.ts
@@ -22,6 +22,8 @@
 const POOL_RATIO = 0.2;
 /** As countLoadSharers of the membership: each has a view of its own up to here. */
 const FULL_MESH_MAXIMUM = 17;
+/** As in the gateway's load_spreading. */
+const PREFILL_TIME_RATIO = 0.5;
 const SHORT_PROMPT_TOKENS = 5000;
 const SUBSET_SIZE = 8;
 const BOUND_RATIO = 1.25;
@@ -146,13 +148,22 @@
 }
 
 /** Subtracts the load of others that has ended since the report. */
-function drainServer(server: ServerView, endedRatio: number): ServerView {
-  const {others} = server;
+function drainServer(
+  server: ServerView,
+  ageMs: number,
+  endedRatio: number,
+): ServerView {
+  const {others, speed} = server;
   return {
     ...server,
     others: {
       ...others,
       inFlight: others.inFlight * (1 - endedRatio),
+      pendingTokens: Math.max(
+        0,
+        others.pendingTokens -
+          ageMs * PREFILL_TIME_RATIO * speed * MODEL_TOKENS_PER_MS,
+      ),
     },
   };
 }
@@ -198,6 +209,7 @@
       : view.servers.map(server =>
           drainServer(
             server,
+            ageMs,
             estimateEndedRatio({unseen, reported, speed: server.speed}),
           ),
         );
--- a/packages/gateway/src/state/load_spreading.ts
+++ b/packages/gateway/src/state/load_spreading.ts
@@ -20,6 +20,8 @@
 export interface LoadSpreadingOptions {
   selfId: string;
   loads: Pick<ServerLoads, 'getLoad' | 'getPeerLoad' | 'findReportAge'>;
+  /** Prompt tokens that a model server of speed 1 prefills in a millisecond. */
+  prefillTokensPerMs: number;
   /** Speed of a server relative to the usual; 1 for all by default. */
   getServerSpeed?: (serverId: string) => number;
 }
@@ -32,10 +34,7 @@
   unseenTokens: number;
   /** Number in [0, 1), evenly distributed over the requests of all instances. */
   position: number;
-  /**
-   * Estimates the load of a server now. Its pending prefill is kept as reported: long
-   * prompts that others have sent since replace what was prefilled.
-   */
+  /** Estimates the load of a server now, without what has ended or was prefilled. */
   estimateLoad(server: BackendServer): ServerLoad;
 }
 
@@ -60,6 +59,13 @@
  */
 const MISSING_REPORT_AGE_MS = 3000;
 
+/**
+ * Part of the time in which a server prefills; output takes the rest, and long
+ * prompts that others have sent since replace some of what was prefilled. Without
+ * this reduction of the reported prefill, bursts of short prompts get less credit.
+ */
+const PREFILL_TIME_RATIO = 0.5;
+
 interface ServiceSpread {
   requests: LoadSpread;
   tokens: LoadSpread;
@@ -68,6 +74,7 @@
 export function createLoadSpreading({
   selfId,
   loads,
+  prefillTokensPerMs,
   getServerSpeed = () => 1,
 }: LoadSpreadingOptions): LoadSpreading {
   const spreads = new Map<string, ServiceSpread>();
@@ -110,10 +117,15 @@
           const load = loads.getLoad(id, now);
           const others = loads.getPeerLoad(id, now);
           const speed = getServerSpeed(id);
+          const prefilled =
+            place.ageMs * PREFILL_TIME_RATIO * prefillTokensPerMs * speed;
           const endedRatio = estimateEndedRatio({unseen, reported, speed});
           return {
             ...load,
             inFlight: load.inFlight - others.inFlight * endedRatio,
+            pendingPrefillTokens:
+              load.pendingPrefillTokens -
+              Math.min(others.pendingPrefillTokens, prefilled),
           };
         },
       };
