feat(gateway): placement uses the learned speeds of model servers

Sums of expected and observed times travel once a second with the loads (element 19 of the message row), so that an instance of a large fleet knows servers that it rarely uses. Setting engines.learnSpeeds, off by default; the speeds count where engines.spreading is even.

--- a/packages/decisions/src/engine_costs.ts
+++ b/packages/decisions/src/engine_costs.ts
@@ -154,7 +154,7 @@
  * While a server prefills, each step also processes a whole prompt chunk.
  */
 export function estimateTokenMs(
-  candidate: EngineCandidate,
+  candidate: Pick<EngineCandidate, 'inFlight' | 'prefillTokensPerMs'>,
   tokensPerMs: number,
 ): number {
   const prefillRatio = Math.min(
--- a/packages/gateway/__tests__/gossip_task.spec.ts
+++ b/packages/gateway/__tests__/gossip_task.spec.ts
@@ -56,6 +56,7 @@
       quarantineNews: [],
       limitNews: [],
       faultSums: [],
+      speedSums: [],
       shortageNews: [],
     },
     forwardTo: [],
--- a/packages/gateway/__tests__/settings.spec.ts
+++ b/packages/gateway/__tests__/settings.spec.ts
@@ -182,6 +182,7 @@
     quarantineNews: [],
     limitNews: [],
     faultSums: [],
+    speedSums: [],
     shortageNews: [],
   };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,7 @@
   createReadSchedule,
 } from './state/read_schedule.js';
 import {createReaderRole} from './state/reader_role.js';
+import {createSpeedTracker} from './state/speed_tracker.js';
 import {createStatementTracker} from './state/statement_tracker.js';
 import {createStoreWatcher} from './state/store_watcher.js';
 
@@ -123,6 +124,9 @@
   const faults = settings.failures.shared
     ? createFaultTracker({logger})
     : undefined;
+  const speeds = settings.engines.learnSpeeds
+    ? createSpeedTracker({listServices: listModelServers})
+    : undefined;
   const locations = createPrefixLocations();
   const shortages = createRoomShortages();
   let isStopping = false;
@@ -244,6 +248,7 @@
     locations,
     quarantine,
     faults: faults?.exchange,
+    speeds: speeds?.exchange,
     limits: {
       listNews: (maximumHops, now) =>
         statements.listLimitNews(maximumHops, now),
@@ -268,6 +273,16 @@
     );
   }
 
+  /** Lists the ids of the model servers, by service. */
+  function listModelServers(): string[][] {
+    const services = clusterState.getConfiguration()?.services ?? new Map();
+    return [...services.values()]
+      .filter(service => service.engine)
+      .map(service =>
+        clusterState.listServers(service.name).map(({server}) => server.id),
+      );
+  }
+
   function listInstances(now: number): readonly string[] {
     return gossip.table.listRecentIds(now);
   }
@@ -324,6 +339,7 @@
     coldSlack: settings.cold.slack,
     statements,
     faults,
+    speeds,
   });
 
   const admission =
--- a/packages/gateway/src/peers/gossip_message.ts
+++ b/packages/gateway/src/peers/gossip_message.ts
@@ -12,6 +12,7 @@
 import {z} from 'zod';
 import {FAULT_VALUES} from '../state/fault_tracker.js';
 import type {LoadReport, LoadRow} from '../state/server_loads.js';
+import {SPEED_VALUES} from '../state/speed_tracker.js';
 import {decodeCustomerNews, encodeCustomerNews} from './customer_news.js';
 import type {RankNews} from './customer_news.js';
 import {decodeLimitNews, encodeLimitNews} from './limit_news.js';
@@ -67,6 +68,8 @@
   limitNews: readonly LimitNews[];
   /** Recent faults and answers by server. */
   faultSums: readonly SumRow[];
+  /** Observed and expected times of answers by server. */
+  speedSums: readonly SumRow[];
   /** What customers asked for and got; absent unless capacity is scarce. */
   customerNews?: readonly RankNews[];
   /** Services that lack capacity. */
@@ -158,6 +161,7 @@
       quarantineNews: decodeIntegers(row[14] ?? new Uint8Array()),
       limitNews: decodeLimitNews(row[15] ?? new Uint8Array()),
       faultSums: decodeSums(row[18] ?? new Uint8Array(), FAULT_VALUES),
+      speedSums: decodeSums(row[19] ?? new Uint8Array(), SPEED_VALUES),
       ...(row[17]?.length ? {customerNews: decodeCustomerNews(row[17])} : {}),
       shortageNews: decodeShortageNews(row[16] ?? new Uint8Array()),
     }),
@@ -291,6 +295,7 @@
     encodeShortageNews(message.shortageNews),
     encodeCustomerNews(message.customerNews ?? []),
     encodeSums(message.faultSums),
+    encodeSums(message.speedSums),
   ];
   const last = columns.findLastIndex(column => column.length > 0);
   return columns.slice(0, last + 1);
--- a/packages/gateway/src/peers/gossip_node.ts
+++ b/packages/gateway/src/peers/gossip_node.ts
@@ -45,6 +45,8 @@
   limits?: LimitExchange;
   /** Faults of servers; not exchanged if absent. */
   faults?: FleetSumExchange | undefined;
+  /** Speeds of servers; not exchanged if absent. */
+  speeds?: FleetSumExchange | undefined;
   /** What customers asked for and got, while capacity is scarce. */
   customers?: CustomerSums;
   shortages?: Pick<RoomShortages, 'listNews' | 'acceptNews'>;
@@ -128,7 +130,7 @@
 export function createGossipNode(options: GossipNodeOptions): GossipNode {
   const {describeSelf, describeState, loads, locations, quarantine, random} =
     options;
-  const {limits = NO_LIMITS, faults, customers} = options;
+  const {limits = NO_LIMITS, faults, speeds, customers} = options;
   const {shortages = createRoomShortages()} = options;
   const {instanceId: selfId, gossipAddress} = describeSelf();
   const table = createGossipTable({
@@ -193,6 +195,7 @@
       ...addEntries(relays.takeForGroups(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.GROUP_SUM, now),
       faultSums: faults?.buildGroupSum(now) ?? [],
+      speedSums: speeds?.buildGroupSum(now) ?? [],
       customerNews: customers?.buildGroupSum(now) ?? [],
       shortageNews: shortages.listNews(now, MAXIMUM_HOPS.GROUP_SUM),
     });
@@ -224,6 +227,7 @@
       ...addEntries(relays.takeForMembers(now), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.TOTALS, now),
       faultSums: faults?.buildTotals(now) ?? [],
+      speedSums: speeds?.buildTotals(now) ?? [],
       customerNews: customers?.buildTotals(now) ?? [],
       shortageNews: shortages.listNews(now, MAXIMUM_HOPS.TOTALS),
     });
@@ -257,6 +261,7 @@
       quarantineNews: encodeNews(ownNews.take(), now),
       limitNews: limits.listNews(MAXIMUM_HOPS.REPORT, now),
       faultSums: faults?.buildReport(now) ?? [],
+      speedSums: speeds?.buildReport(now) ?? [],
       customerNews: customers?.buildReport(now) ?? [],
       shortageNews,
     });
@@ -351,6 +356,7 @@
       if (message.groupKey === view.getOwnKey()) {
         loads.receiveReport(sender.instanceId, message.loadReport, now);
         faults?.receiveReport(sender.instanceId, message.faultSums, now);
+        speeds?.receiveReport(sender.instanceId, message.speedSums, now);
         const news = message.customerNews ?? [];
         customers?.receiveReport(sender.instanceId, news, now);
       }
@@ -364,6 +370,7 @@
       if (view.hasOther(message.groupKey)) {
         loads.receiveGroupSum(message.groupKey, message.loadReport, now);
         faults?.receiveGroupSum(message.groupKey, message.faultSums, now);
+        speeds?.receiveGroupSum(message.groupKey, message.speedSums, now);
         const news = message.customerNews ?? [];
         customers?.receiveGroupSum(message.groupKey, news, now);
       }
@@ -375,6 +382,7 @@
       if (!role.isPublishing(now)) {
         loads.receiveTotals(message.loadReport, now);
         faults?.receiveTotals(message.faultSums, now);
+        speeds?.receiveTotals(message.speedSums, now);
         customers?.receiveTotals(message.customerNews ?? [], now);
       }
       if (
@@ -439,6 +447,7 @@
     clearReceived: now => {
       loads.clearReceived();
       faults?.clearReceived();
+      speeds?.clearReceived();
       customers?.clearReceived();
       view.reset(now);
     },
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -32,6 +32,8 @@
   limits?: LimitExchange;
   /** Faults of servers; not exchanged if absent. */
   faults?: FleetSumExchange | undefined;
+  /** Speeds of servers; not exchanged if absent. */
+  speeds?: FleetSumExchange | undefined;
   customers?: CustomerSums;
   shortages?: RoomShortages;
   pauses: Pick<PauseDetector, 'checkPause' | 'computeWaitedMs'>;
@@ -103,6 +105,7 @@
     quarantine: options.quarantine,
     ...(options.limits ? {limits: options.limits} : {}),
     faults: options.faults,
+    speeds: options.speeds,
     ...(options.customers ? {customers: options.customers} : {}),
     ...(options.shortages ? {shortages: options.shortages} : {}),
     random,
--- a/packages/gateway/src/peers/message_builder.ts
+++ b/packages/gateway/src/peers/message_builder.ts
@@ -89,6 +89,7 @@
         quarantineNews: [],
         limitNews: [],
         faultSums: [],
+        speedSums: [],
         shortageNews: [],
         ...content,
       };
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -268,6 +268,7 @@
           lastEventId = id ?? lastEventId;
           tracker.recordEvent();
         }
+        selected.progress?.recordEvents(events.length, clock.now());
         return answer.sendChunk(
           events.length === 1
             ? events[0]!.bytes
@@ -369,6 +370,7 @@
     const result = await attempt.result;
     stopWatching();
     tracker.end(result);
+    selected.progress?.end(clock.now());
     tracking.endAnswer?.();
     requestHandle.end();
     report.reasons.push(result.reason);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -100,6 +100,8 @@
        */
       shortPromptPart: z.number().min(0).max(0.9).default(0.2),
       /** Whether load is spread by stale reports, see docs/design/even_load.md. */
+      /** Whether the speeds of model servers are learned from their answers. */
+      learnSpeeds: z.boolean().default(false),
       spreading: z.enum(Object.values(Spreading)).default(Spreading.OFF),
     })
     .prefault({}),
--- a/packages/gateway/src/state/server_selection.ts
+++ b/packages/gateway/src/state/server_selection.ts
@@ -1,5 +1,9 @@
 /** Selects the backend server for the next attempt of a request. */
-import {listPrefixes, selectSoundServers} from '@buckthornbeam/decisions';
+import {
+  estimateTokenMs,
+  listPrefixes,
+  selectSoundServers,
+} from '@buckthornbeam/decisions';
 import type {
   EnginePlacement,
   PrefixLocations,
@@ -30,6 +34,7 @@
 import {buildCacheKey, createServerChoice} from './server_choice.js';
 import type {TrackedServer} from './server_entries.js';
 import type {ServerLoads, RequestHandle} from './server_loads.js';
+import type {AnswerProgress, SpeedTracker} from './speed_tracker.js';
 import {createStatementTracker} from './statement_tracker.js';
 import type {StatementTracker} from './statement_tracker.js';
 import {createWaitingRequests} from './waiting_requests.js';
@@ -68,8 +73,8 @@
   faults?: FaultTracker | undefined;
   /** How servers are chosen by load reports; the lowest cost by default. */
   spreading?: Spreading;
-  /** Speed of a server relative to the usual, for spreading; 1 by default. */
-  getServerSpeed?: (serverId: string) => number;
+  /** Speeds of model servers, learned from answers; all are equal if absent. */
+  speeds?: SpeedTracker | undefined;
   /** Returns a number in [0, 1). */
   random?: () => number;
 }
@@ -88,6 +93,8 @@
   copySource?: string;
   /** Whether servers were left out for a limit or a pause that they stated. */
   isDiverted: boolean;
+  /** Follows the events of the answer; absent if speeds are not learned. */
+  progress?: AnswerProgress;
   /** Age of the load reports of others; absent without any. */
   loadAgeMs?: number | undefined;
 }
@@ -151,7 +158,11 @@
   const {clusterState, loads, locations} = options;
   const {statements = createStatementTracker()} = options;
   const availability = createServerAvailability({...options, statements});
-  const choice = createServerChoice({...options, availability});
+  const choice = createServerChoice({
+    ...options,
+    availability,
+    getServerSpeed: serverId => options.speeds?.getSpeed(serverId) ?? 1,
+  });
   const waiting = createWaitingRequests();
 
   function isInRegion(route: Route, server: BackendServer): boolean {
@@ -212,6 +223,17 @@
     return undefined;
   }
 
+  function openProgress(
+    service: Service,
+    serverId: string,
+    now: number,
+  ): AnswerProgress | undefined {
+    const load = loads.getLoad(serverId, now);
+    const tokenMs = estimateTokenMs(load, options.prefillTokensPerMs);
+    const eventMs = tokenMs * (service.engine?.tokensPerEvent ?? 0);
+    return options.speeds?.beginAnswer(serverId, eventMs);
+  }
+
   function selectEngine(
     servers: readonly TrackedServer[],
     service: Service,
@@ -250,6 +272,7 @@
           // Cached prefix blocks are stored once, however many requests share them.
           totalTokens: prefillTokens + request.outputTokens,
         };
+        const progress = openProgress(service, serverId, now);
         const requestHandle = loads.add(serverId, load, now);
         const {server} = tracked;
         const source = servers.find(
@@ -265,6 +288,7 @@
             locations.recordPrefilled(cacheKey, prefixes, at);
           },
           ...(source ? {copySource: source.server.address} : {}),
+          ...(progress ? {progress} : {}),
         };
       }
       remaining = remaining.filter(item => item !== tracked);
@@ -308,6 +332,7 @@
 
   return {
     select: (route, request, excluded, limits, now) => {
+      options.speeds?.update(now);
       const instances = options.listInstances(now);
       for (const service of listServices(route, request.id)) {
         if (limits.isHeldBack?.(service.name)) {
@@ -398,6 +423,7 @@
     prune: now => {
       const listed = clusterState.listServerIds();
       availability.retain(listed);
+      options.speeds?.retain(listed);
       choice.retain(clusterState.getConfiguration()?.services);
       statements.retain(
         [...listed].map(id => clusterState.findServer(id)!.server),
--- a/packages/gateway/src/state/speed_tracker.ts
+++ b/packages/gateway/src/state/speed_tracker.ts
@@ -7,14 +7,24 @@
 import {createCachedHash} from '@buckthornbeam/shared';
 import {createFleetSums} from '../peers/fleet_sums.js';
 import type {FleetSumExchange, SumRow} from '../peers/fleet_sums.js';
+import {createAnswerPaceMeter} from './answer_pace.js';
+
+/** Progress of one answer of a model server. */
+export interface AnswerProgress {
+  /** Records events that arrived together. */
+  recordEvents(count: number, now: number): void;
+  end(now: number): void;
+}
 
 export interface SpeedTracker {
   /** What instances send each other. */
   readonly exchange: FleetSumExchange;
-  /** Records the pace of an answer. */
-  record(serverId: string, pace: AnswerPace, now: number): void;
+  /** Begins an answer whose events are expected after `eventMs` each. */
+  beginAnswer(serverId: string, eventMs: number): AnswerProgress;
+  /** Computes the speeds again if they are due. */
+  update(now: number): void;
   /** Speed relative to the servers of its service; 1 if unknown. */
-  getSpeed(serverId: string, now: number): number;
+  getSpeed(serverId: string): number;
   retain(serverIds: ReadonlySet<string>): void;
 }
 
@@ -107,8 +117,21 @@
 
   return {
     exchange: createTimedExchange(sums),
-    record: (serverId, pace, now) => paces.record(serverId, pace, now),
-    getSpeed: (serverId, now) => {
+    beginAnswer: (serverId, eventMs) => {
+      const meter = createAnswerPaceMeter();
+      return {
+        recordEvents: (count, now) => meter.recordEvents(count, now),
+        end: now => {
+          const pace = meter.measure();
+          if (pace && eventMs > 0) {
+            const {events, durationMs: observedMs} = pace;
+            const expectedMs = events * eventMs;
+            paces.record(serverId, {expectedMs, observedMs}, now);
+          }
+        },
+      };
+    },
+    update: now => {
       if (now - updatedAt >= UPDATE_INTERVAL_MS) {
         updatedAt = now;
         speeds = new Map(
@@ -117,8 +140,8 @@
           ]),
         );
       }
-      return speeds.get(serverId) ?? 1;
     },
+    getSpeed: serverId => speeds.get(serverId) ?? 1,
     retain: serverIds => paces.retain(serverIds),
   };
 }
--- a/packages/gateway/src/state/start_estimate.ts
+++ b/packages/gateway/src/state/start_estimate.ts
@@ -76,19 +76,7 @@
   const ownTokens = Math.max(0, request.promptTokens - request.sharedTokens);
   const firstEventMs = ownTokens / prefillTokensPerMs;
   const tokenMs = estimateTokenMs(
-    {
-      serverId: '',
-      slots: engine.slots,
-      kvCacheTokens: engine.kvCacheTokens,
-      inFlight: 0,
-      ownInFlight: 0,
-      pendingPrefillTokens: 0,
-      inFlightTokens: 0,
-      prefillTokensPerMs: 0,
-      cachedTokens: 0,
-      prefilledTokens: 0,
-      failureRate: 0,
-    },
+    {inFlight: 0, prefillTokensPerMs: 0},
     prefillTokensPerMs,
   );
   const endMs = firstEventMs + request.outputTokens * tokenMs;
