--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -229,6 +229,10 @@
     settings.admission.customerShares === 'on'
       ? createCustomerAdmission({
           getConfiguration: () => clusterState.getConfiguration(),
+          // Shortages of other instances are heard of with admission by urgency.
+          isScarce: (serviceName, now, urgencyPosition) =>
+            (shortages.findMostUrgent(serviceName, now) ?? Infinity) <=
+            urgencyPosition,
         })
       : undefined;
 
