--- a/packages/decisions/src/even_load.ts
+++ b/packages/decisions/src/even_load.ts
@@ -3,7 +3,7 @@
  * by the same report would all choose the server that was least loaded in it.
  *
  * The load that the fleet adds between the report and its replacement is assumed to
- * fill the servers like water: the least loaded first, up to a common level. A
+ * go to the least loaded servers first, up to a common level (water-filling). A
  * request chooses a server with a probability in proportion to what it is filled
  * with, so that all instances together bring this level about. Fresh reports or
  * little load leave the cheapest server; the longer the report is out of date, the
