test(decisions): the bound of even load is the target at unequal speeds too

Cause: at servers of 0.55 and 1.2 times the usual speed the test allowed a busiest over mean of 1.25, above the measured figures; the target is 1.15 for all fleets.

Change: one test for each fleet size, all with the bound of 1.15.

--- a/packages/decisions/__tests__/even_load.spec.ts
+++ b/packages/decisions/__tests__/even_load.spec.ts
@@ -27,8 +27,6 @@
 const FLEETS = [8, 73, 195, 420];
 const REPORT_AGE_MS = 300;
 const MAXIMUM_PEAK_RATIO = 1.15;
-/** Measured at unequal speeds: 1.19 at most; 1.15 is not reached there. */
-const MAXIMUM_UNEQUAL_PEAK_RATIO = 1.25;
 const MAXIMUM_LATE_RATIO = 1.2;
 /** Late requests that a run of this length may have by chance. */
 const LATE_MARGIN = 0.01;
@@ -108,30 +106,30 @@
 describe('plain services by stale reports', () => {
   // The choice of the lowest cost comes first in the table: it is what off means.
   for (const name of Object.keys(deployments) as DeploymentName[]) {
-    it(`have even load at ${name} servers, in fleets of 8 to 420`, () => {
-      const exact = runPlain(name, {
-        choosers: 1,
-        choose: chooseByExact,
-        ageMs: 0,
-      });
-      printRow(`${name}, exact loads`, exact);
-      const limit = name.includes('unequal')
-        ? MAXIMUM_UNEQUAL_PEAK_RATIO
-        : MAXIMUM_PEAK_RATIO;
-      for (const choosers of FLEETS) {
+    for (const choosers of FLEETS) {
+      it(`have even load at ${name} servers, ${choosers} instances`, () => {
+        const exact = runPlain(name, {
+          choosers: 1,
+          choose: chooseByExact,
+          ageMs: 0,
+        });
+        printRow(`${name}, exact loads`, exact);
         const [today, even] = ['today', EVEN].map(method => {
           const result = runPlain(name, {choosers, choose: methods[method]!()});
           printRow(`${name}, ${choosers} choosers, ${method}`, result);
           return result;
         });
         assert.ok(today!.peakRatio > even!.peakRatio);
-        assert.ok(even!.peakRatio <= limit, `${choosers}: ${even!.peakRatio}`);
+        assert.ok(
+          even!.peakRatio <= MAXIMUM_PEAK_RATIO,
+          `peak ${even!.peakRatio}`,
+        );
         assert.ok(
           even!.lateRatio <= MAXIMUM_LATE_RATIO * exact.lateRatio,
-          `${choosers}: ${even!.lateRatio} late`,
+          `${even!.lateRatio} late`,
         );
-      }
-    });
+      });
+    }
   }
 
   it('have more even load by prediction than by the lowest cost, two choices and subsets', () => {
