fix(gateway): a header name that cannot be written fails the attempt

A server's header name with a space passes the parser of Node.js 20.19.0 and is refused when the head is written to the caller: for a stream the exception ended the process, for other requests the caller got a 500 of the instance.

Heads are now checked with the validators of node:http before they are used; the attempt fails with invalid_header.

--- a/packages/gateway/src/relay/attempt.ts
+++ b/packages/gateway/src/relay/attempt.ts
@@ -10,6 +10,7 @@
 import type {StreamEvent} from './event_splitter.js';
 import {startExchange} from './exchange.js';
 import type {Exchange} from './exchange.js';
+import {canWriteHeaders} from './header_check.js';
 import {isCloseDelimited} from './server_connections.js';
 
 /** How an attempt ended. */
@@ -174,6 +175,9 @@
   if (!isFinalStatus(status)) {
     return 'invalid_status';
   }
+  if (!canWriteHeaders(head.headers)) {
+    return 'invalid_header';
+  }
   if (!isOwnAnswer(head, context)) {
     return 'foreign_answer';
   }
