feat(cli): a program may pass further commands

Reason: `cli` must not depend on `platform`, whose command line adds the check of configurations to the commands of `cli`.

Change: runCommandLine takes the commands, by default its own, and these are exported with the types and output functions that a command needs.

--- a/packages/cli/src/help.ts
+++ b/packages/cli/src/help.ts
@@ -24,7 +24,7 @@
 }
 
 /** Prints the list of commands. */
-export function printHelp(commands: Record<string, Command>): void {
+export function printHelp(commands: Readonly<Record<string, Command>>): void {
   printLine('Usage: buckthornbeam COMMAND [OPTIONS]');
   printLine('');
   const rows = Object.entries(commands).map(([name, {summary}]) => [
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,5 @@
 /** Public API of the command line package. */
-export {runCommandLine} from './run.js';
+export {ExitCode} from './command.js';
+export type {Command, CommandArguments} from './command.js';
+export {printJson, printLine, printNote} from './output.js';
+export {ownCommands, runCommandLine} from './run.js';
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -16,7 +16,8 @@
 import {printCommandHelp, printHelp} from './help.js';
 import {printCheckErrors, printNote} from './output.js';
 
-const commands: Record<string, Command> = {
+/** The commands of this package, by name. */
+export const ownCommands: Readonly<Record<string, Command>> = {
   serve: serveCommand,
   check: checkCommand,
   bundle: bundleCommand,
@@ -38,8 +39,14 @@
   return code === 'usage' ? ExitCode.INVALID : ExitCode.FAILURE;
 }
 
-/** Runs the command named by the first argument; returns its exit code. */
-export async function runCommandLine(args: string[]): Promise<ExitCode> {
+/**
+ * Runs the command named by the first argument; returns its exit code. Programs with
+ * commands of their own pass them together with {@link ownCommands}.
+ */
+export async function runCommandLine(
+  args: string[],
+  commands: Readonly<Record<string, Command>> = ownCommands,
+): Promise<ExitCode> {
   const [name = '--help', ...rest] = args;
   if (name === '--help') {
     printHelp(commands);
