--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -90,7 +90,7 @@
 }
 
 /** Above any configured limit, so that the configured limit is the one enforced. */
-const PARSER_MAXIMUM_HEADER_BYTES = 65_536;
+export const PARSER_MAXIMUM_HEADER_BYTES = 65_536;
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Added to the configured idle timeout, so that callers close idle connections first. */
 const IDLE_TIMEOUT_MARGIN_MS = 1000;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export type {LimitStatement} from '@buckthornbeam/decisions';
 export {createGateway} from './gateway.js';
 export type {Gateway, GatewayOptions} from './gateway.js';
+export {PARSER_MAXIMUM_HEADER_BYTES} from './http/caller_server.js';
 export {RouteKind} from './model.js';
 export type {
   BackendServer,
@@ -35,6 +36,8 @@
 export {getUrgencyRanks} from './state/request_urgency.js';
 export type {RequestUrgency, UrgencyRanks} from './state/request_urgency.js';
 export type {TrackedServer} from './state/server_entries.js';
+export {getRouteTable} from './state/route_table.js';
+export type {RouteTable} from './state/route_table.js';
 export {createServerActivity} from './state/server_activity.js';
 export {createServerLoads} from './state/server_loads.js';
 export type {ServerLoads} from './state/server_loads.js';
