fix(decisions): requests sent since a load report end as well

Cause: of the requests in a load report some are taken as ended, but those sent since were taken as all still running. Requests that wait beyond a server's slots were taken as ending, too.

Change: the load that raises a server by one request grows with the part of it that ends meanwhile, and only running requests end.

--- a/packages/decisions/__tests__/even_load.spec.ts
+++ b/packages/decisions/__tests__/even_load.spec.ts
@@ -10,6 +10,7 @@
   computeFill,
   createLoadSpread,
   estimateEndedRatio,
+  estimateSentRatio,
 } from '../src/index.js';
 import {
   MODEL_SLOTS,
@@ -258,4 +259,14 @@
     assert.is(estimateEndedRatio({unseen: 5, reported: 0, speed: 1}), 0);
     assert.ok(estimateEndedRatio({unseen: 5, reported: 10, speed: 1}) < 0.5);
   });
+
+  // Guards against slow servers that are filled above the level of fast ones.
+  it('sends more to fast servers, which end more of it', () => {
+    assert.is(estimateSentRatio({unseen: 0, reported: 10, speed: 1}), 1);
+    assert.is(estimateSentRatio({unseen: 5, reported: 0, speed: 1}), 1);
+    const [slow, fast] = [0.55, 1.2].map(speed =>
+      estimateSentRatio({unseen: 5, reported: 10, speed}),
+    );
+    assert.ok(slow! > 1 && fast! > slow!);
+  });
 });
--- a/packages/decisions/__tests__/support/placement_methods.ts
+++ b/packages/decisions/__tests__/support/placement_methods.ts
@@ -6,6 +6,7 @@
   computeFill,
   createLoadSpread,
   estimateEndedRatio,
+  estimateSentRatio,
   estimateUnseenTokens,
   placeGeneration,
 } from '../../src/index.js';
@@ -147,6 +148,11 @@
   return chosen.index;
 }
 
+/** Requests beyond the slots of a server wait there, and none of them ends. */
+function countRunning({others}: ServerView): number {
+  return Math.min(MODEL_SLOTS, others.inFlight);
+}
+
 /** Subtracts the load of others that has ended since the report. */
 function drainServer(
   server: ServerView,
@@ -158,7 +164,7 @@
     ...server,
     others: {
       ...others,
-      inFlight: others.inFlight * (1 - endedRatio),
+      inFlight: others.inFlight - countRunning(server) * endedRatio,
       pendingTokens: Math.max(
         0,
         others.pendingTokens -
@@ -201,7 +207,7 @@
     const place = {rank: chooser, instances: choosers, ageMs, reportedAt};
     const {unseen, position} = requests.next(place, now);
     const reported = view.servers.reduce(
-      (sum, {others, speed}) => sum + others.inFlight * speed,
+      (sum, server) => sum + countRunning(server) * server.speed,
       0,
     );
     const servers = variant.isUndrained
@@ -218,7 +224,12 @@
     if (isPlain) {
       const targets = servers.map(server => ({
         cost: computePlainCost(server),
-        capacity: MODEL_SLOTS * server.speed,
+        capacity:
+          MODEL_SLOTS *
+          server.speed *
+          (variant.isUndrained
+            ? 1
+            : estimateSentRatio({unseen, reported, speed: server.speed})),
       }));
       return chooseByShare(computeFill(targets, unseen), evenPosition);
     }
--- a/packages/decisions/src/even_load.ts
+++ b/packages/decisions/src/even_load.ts
@@ -14,7 +14,7 @@
 export interface FillTarget {
   /** Cost of the server for the request, by the report. */
   cost: number;
-  /** Load that raises the cost by one; proportional to the server's speed. */
+  /** Load sent since the report that raises the cost by one. */
   capacity: number;
 }
 
@@ -78,22 +78,37 @@
   return last;
 }
 
-/**
- * Estimates the load of others that has ended since their report, from 0 to 1. In
- * a steady state as much ends as begins; fast servers end more of what they have.
- */
-export function estimateEndedRatio({
-  unseen,
-  reported,
-  speed,
-}: {
+/** Flow of load since a report, for the estimates of one server. */
+export interface LoadFlow {
   /** Load that the fleet has added since the report. */
   unseen: number;
-  /** Sum of the reported loads of all servers, each times its speed. */
+  /** Sum of the running loads of all servers in the report, each times its speed. */
   reported: number;
   speed: number;
-}): number {
-  return reported > 0 ? 1 - Math.exp((-unseen * speed) / reported) : 0;
+}
+
+/** Exponent of the decay of a server's load since the report. */
+function computeDecay({unseen, reported, speed}: LoadFlow): number {
+  return reported > 0 ? (unseen * speed) / reported : 0;
+}
+
+/**
+ * Estimates the running load of others that has ended since their report, from 0
+ * to 1. In a steady state as much ends as begins; fast servers end more of what
+ * they have.
+ */
+export function estimateEndedRatio(flow: LoadFlow): number {
+  return 1 - Math.exp(-computeDecay(flow));
+}
+
+/**
+ * Estimates the load to send evenly since the report for each unit of it that is
+ * left now. Fast servers also end more of this load; without the ratio, slow
+ * servers are filled above the level.
+ */
+export function estimateSentRatio(flow: LoadFlow): number {
+  const decay = computeDecay(flow);
+  return decay > 0 ? decay / -Math.expm1(-decay) : 1;
 }
 
 /** The report by which an instance places, and the instances that do the same. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -157,6 +157,7 @@
   computeFill,
   createLoadSpread,
   estimateEndedRatio,
+  estimateSentRatio,
 } from './even_load.js';
 export type {
   FillTarget,
--- a/packages/gateway/src/state/load_spreading.ts
+++ b/packages/gateway/src/state/load_spreading.ts
@@ -2,7 +2,11 @@
  * Spreads requests over servers by stale load reports: what this instance expects
  * the others to have sent and ended since the reports.
  */
-import {createLoadSpread, estimateEndedRatio} from '@buckthornbeam/decisions';
+import {
+  createLoadSpread,
+  estimateEndedRatio,
+  estimateSentRatio,
+} from '@buckthornbeam/decisions';
 import type {LoadSpread, SpreadPlace} from '@buckthornbeam/decisions';
 import type {BackendServer} from '../model.js';
 import type {ServerLoad, ServerLoads} from './server_loads.js';
@@ -36,6 +40,8 @@
   position: number;
   /** Estimates the load of a server now, without what has ended or was prefilled. */
   estimateLoad(server: BackendServer): ServerLoad;
+  /** Estimates the requests sent since the reports for each that is left. */
+  estimateSentRatio(server: BackendServer): number;
 }
 
 export interface LoadSpreading {
@@ -104,16 +110,21 @@
       const place = buildPlace(instances, now);
       const {requests, tokens} = getSpread(serviceName);
       const {unseen, position} = requests.next(place, now);
+      // Requests beyond the slots of a server wait there, and none of them ends.
+      const countRunning = ({id, slots}: BackendServer) =>
+        Math.min(Math.max(1, slots), loads.getPeerLoad(id, now).inFlight);
       const reported = servers.reduce(
-        (sum, {id}) =>
-          sum + loads.getPeerLoad(id, now).inFlight * getServerSpeed(id),
+        (sum, server) => sum + countRunning(server) * getServerSpeed(server.id),
         0,
       );
       return {
         unseenRequests: unseen,
         unseenTokens: tokens.next(place, now).unseen,
         position,
-        estimateLoad: ({id}) => {
+        estimateSentRatio: ({id}) =>
+          estimateSentRatio({unseen, reported, speed: getServerSpeed(id)}),
+        estimateLoad: server => {
+          const {id} = server;
           const load = loads.getLoad(id, now);
           const others = loads.getPeerLoad(id, now);
           const speed = getServerSpeed(id);
@@ -122,7 +133,7 @@
           const endedRatio = estimateEndedRatio({unseen, reported, speed});
           return {
             ...load,
-            inFlight: load.inFlight - others.inFlight * endedRatio,
+            inFlight: load.inFlight - countRunning(server) * endedRatio,
             pendingPrefillTokens:
               load.pendingPrefillTokens -
               Math.min(others.pendingPrefillTokens, prefilled),
--- a/packages/gateway/src/state/server_choice.ts
+++ b/packages/gateway/src/state/server_choice.ts
@@ -141,7 +141,8 @@
       const speed = spreading.getSpeed(server.id);
       return {
         cost: computePlainCost(server, plan.estimateLoad(server), now, speed),
-        capacity: Math.max(1, server.slots * speed),
+        capacity:
+          Math.max(1, server.slots * speed) * plan.estimateSentRatio(server),
       };
     });
     const shares = computeFill(targets, plan.unseenRequests);
