fix(decisions): spreading stays with servers that cache a shared part

Cause: with spreading, the unseen load of all prompts of a service fills its servers to a common level. That drove prompts of up to 5000 tokens from the few servers that cache their shared part to others, which prefilled it again.

Change: a prompt is spread only over servers where another prefill delays the first event by at most a twentieth of the target time, compared with the cheapest server. The model of the tests gives learned speeds to large prompts as the gateway does, and counts what is prefilled again.

--- a/packages/decisions/__tests__/even_load.spec.ts
+++ b/packages/decisions/__tests__/even_load.spec.ts
@@ -17,7 +17,7 @@
   chooseByExact,
   methods,
 } from './support/placement_methods.js';
-import {runModel} from './support/stale_load_model.js';
+import {MODEL_TOKENS_PER_MS, runModel} from './support/stale_load_model.js';
 import type {
   ModelKind,
   ModelOptions,
@@ -229,6 +229,74 @@
   });
 });
 
+/** Few servers, of 37.9 to 61.8 prompt tokens per ms, and shared parts of prompts. */
+describe('prompts with shared parts', () => {
+  const MINIMUM_SPEED = 37.9 / MODEL_TOKENS_PER_MS;
+  const MAXIMUM_PREFILL_RATIO = 1.05;
+  const large = {
+    rate: 2,
+    sharedTokens: 13_300,
+    ownTokens: 3720,
+    serviceMs: 600,
+    targetMs: 2027,
+  };
+  const medium = {
+    rate: 8,
+    sharedTokens: 3000,
+    ownTokens: 1500,
+    serviceMs: 260,
+    targetMs: 619,
+  };
+  const small = {...listGenerations(1)[2]!, rate: 6};
+
+  function listSpeeds(count: number): number[] {
+    return Array.from(
+      {length: count},
+      (_, index) => MINIMUM_SPEED + (1 - MINIMUM_SPEED) * ((index % 6) / 5),
+    );
+  }
+
+  // Guards against spreading prompts away from the servers that cache their part,
+  // to servers that prefill it again.
+  for (const [servers, subjects] of [
+    [6, 20],
+    [63, 200],
+  ] as const) {
+    const kinds = {
+      'parts of 13,300 tokens': [{...large, subjects}],
+      'parts of 13,300 and 350 tokens': [{...large, subjects}, small],
+      'parts of 3000 tokens': [{...medium, subjects: 2 * subjects}],
+      'parts of 13,300 and 3000 tokens': [
+        {...large, subjects},
+        {...medium, subjects: 2 * subjects},
+      ],
+    };
+    for (const [name, load] of Object.entries(kinds)) {
+      it(`are prefilled again about as rarely as by the lowest cost, ${servers} servers, ${name}`, () => {
+        const [today, even] = ['today', EVEN].map(method => {
+          const result = runModel({
+            speeds: listSpeeds(servers),
+            kinds: load,
+            choosers: 73,
+            ageMs: REPORT_AGE_MS,
+            slots: MODEL_SLOTS,
+            choose: methods[method]!(),
+          });
+          printRow(`${servers}, ${name}, ${method}`, result);
+          const again = result.repeatedRatio.toFixed(3);
+          process.stdout.write(`  prefilled again: ${again}\n`);
+          return result;
+        });
+        assert.ok(
+          even!.prefillRatio <= today!.prefillRatio * MAXIMUM_PREFILL_RATIO,
+          `${even!.prefillRatio}, off ${today!.prefillRatio}`,
+        );
+        assert.ok(even!.lateRatio <= today!.lateRatio + LATE_MARGIN);
+      });
+    }
+  }
+});
+
 describe('the prediction of load', () => {
   it('fills the servers of the lowest cost up to a common level', () => {
     const targets = [
--- a/packages/decisions/__tests__/support/placement_methods.ts
+++ b/packages/decisions/__tests__/support/placement_methods.ts
@@ -50,7 +50,16 @@
   view: ChooserView,
   request: ModelRequest,
   servers: readonly ServerView[],
-  {evenLoad, isExact}: {evenLoad?: EvenLoadOptions; isExact?: boolean} = {},
+  {
+    evenLoad,
+    isExact,
+    hasSpeeds = evenLoad !== undefined,
+  }: {
+    evenLoad?: EvenLoadOptions;
+    isExact?: boolean;
+    /** Whether the choice knows the speeds of model servers. */
+    hasSpeeds?: boolean;
+  } = {},
 ): number {
   const {random, choosers} = view;
   const {kind} = request;
@@ -83,7 +92,7 @@
     cachedTokens: server.cachedTokens,
     prefilledTokens: server.cachedTokens,
     failureRate: 0,
-    ...(evenLoad ? {speed: server.speed} : {}),
+    ...(hasSpeeds ? {speed: server.speed} : {}),
   }));
   const placement = placeGeneration(
     candidates,
@@ -202,7 +211,7 @@
     const requests = getSpread(view, 'requests');
     if (!isPlain && !isShortPrompt(request) && !variant.isForLong) {
       requests.record(1, now);
-      return chooseToday(view, request, view.servers);
+      return chooseToday(view, request, view.servers, {hasSpeeds: true});
     }
     const place = {rank: chooser, instances: choosers, ageMs, reportedAt};
     const {unseen, position} = requests.next(place, now);
--- a/packages/decisions/__tests__/support/stale_load_model.ts
+++ b/packages/decisions/__tests__/support/stale_load_model.ts
@@ -78,6 +78,8 @@
   lateRatio: number;
   /** Prefilled tokens relative to the prompt tokens. */
   prefillRatio: number;
+  /** Shared tokens prefilled while another server had them, of the prompt tokens. */
+  repeatedRatio: number;
 }
 
 interface Job {
@@ -226,6 +228,10 @@
     const {kind, subject} = request;
     const server = servers[index]!;
     const isCached = kind.subjects > 0 && server.cached.has(subject);
+    const isRepeated =
+      kind.subjects > 0 &&
+      !isCached &&
+      servers.some(({cached}) => cached.has(subject));
     const prefillTokens = kind.ownTokens + (isCached ? 0 : kind.sharedTokens);
     const prefilledAt =
       Math.max(now, server.prefillFreeAt) +
@@ -256,12 +262,13 @@
       count.late += responseMs > kind.targetMs ? 1 : 0;
       count.prompt += kind.sharedTokens + kind.ownTokens;
       count.prefilled += prefillTokens;
+      count.repeated += isRepeated ? kind.sharedTokens : 0;
     }
   }
 
   const windows: number[][] = [];
   const moments: number[] = [];
-  const count = {requests: 0, late: 0, prompt: 0, prefilled: 0};
+  const count = {requests: 0, late: 0, prompt: 0, prefilled: 0, repeated: 0};
   let sampledAt = WARM_UP_MS;
 
   function computePeak(loads: readonly number[]): number {
@@ -320,5 +327,6 @@
     momentRatio: computeMean(moments),
     lateRatio: count.late / count.requests,
     prefillRatio: count.prompt > 0 ? count.prefilled / count.prompt : 0,
+    repeatedRatio: count.prompt > 0 ? count.repeated / count.prompt : 0,
   };
 }
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -44,6 +44,12 @@
  */
 const COPY_COST_RATIO = 0.25;
 
+/**
+ * Ratio of the target time up to which another prefill of a shared part counts as a
+ * small difference: a third of the margin before an answer counts as late.
+ */
+const NEARLY_EQUAL_TIME_RATIO = 0.05;
+
 /**
  * Finds the server that all instances prefer for the shared prefix, by
  * rendezvous hashing over the pool for the prompt's length.
@@ -132,6 +138,24 @@
   return best;
 }
 
+/**
+ * Selects the servers where the first event is hardly later for another prefill than
+ * on the cheapest one. The unseen load is that of all prompts of the service; without
+ * the selection, it would drive prompts from the few servers that cache their part.
+ */
+function selectNearlyEqual(
+  priced: readonly PricedPlacement[],
+  {targetMs}: EngineRequest,
+  tokensPerMs: number,
+): readonly PricedPlacement[] {
+  const cheapest = findCheapest(priced);
+  return priced.filter(({prefillTokens, speed}) => {
+    const repeatedTokens = prefillTokens - (cheapest?.prefillTokens ?? 0);
+    const repeatedMs = repeatedTokens / (tokensPerMs * speed);
+    return repeatedMs <= targetMs * NEARLY_EQUAL_TIME_RATIO;
+  });
+}
+
 /** Chooses a server in proportion to what the load of others fills it with. */
 function chooseEvenly(
   priced: readonly PricedPlacement[],
@@ -163,6 +187,10 @@
     prefillWeight,
   });
   return evenLoad
-    ? chooseEvenly(priced, evenLoad, tokensPerMs)
+    ? chooseEvenly(
+        selectNearlyEqual(priced, request, tokensPerMs),
+        evenLoad,
+        tokensPerMs,
+      )
     : findCheapest(priced);
 }
