--- a/packages/decisions/__tests__/support/placement_methods.ts
+++ b/packages/decisions/__tests__/support/placement_methods.ts
@@ -6,6 +6,7 @@
   computeFill,
   createLoadSpread,
   estimateEndedRatio,
+  estimateSentRatio,
   estimateUnseenTokens,
   placeGeneration,
 } from '../../src/index.js';
@@ -49,7 +50,16 @@
   view: ChooserView,
   request: ModelRequest,
   servers: readonly ServerView[],
-  {evenLoad, isExact}: {evenLoad?: EvenLoadOptions; isExact?: boolean} = {},
+  {
+    evenLoad,
+    isExact,
+    hasSpeeds = evenLoad !== undefined,
+  }: {
+    evenLoad?: EvenLoadOptions;
+    isExact?: boolean;
+    /** Whether the choice knows the speeds of model servers. */
+    hasSpeeds?: boolean;
+  } = {},
 ): number {
   const {random, choosers} = view;
   const {kind} = request;
@@ -82,7 +92,7 @@
     cachedTokens: server.cachedTokens,
     prefilledTokens: server.cachedTokens,
     failureRate: 0,
-    ...(evenLoad ? {speed: server.speed} : {}),
+    ...(hasSpeeds ? {speed: server.speed} : {}),
   }));
   const placement = placeGeneration(
     candidates,
@@ -147,6 +157,11 @@
   return chosen.index;
 }
 
+/** Requests beyond the slots of a server wait there, and none of them ends. */
+function countRunning({others}: ServerView): number {
+  return Math.min(MODEL_SLOTS, others.inFlight);
+}
+
 /** Subtracts the load of others that has ended since the report. */
 function drainServer(
   server: ServerView,
@@ -158,7 +173,7 @@
     ...server,
     others: {
       ...others,
-      inFlight: others.inFlight * (1 - endedRatio),
+      inFlight: others.inFlight - countRunning(server) * endedRatio,
       pendingTokens: Math.max(
         0,
         others.pendingTokens -
@@ -196,12 +211,12 @@
     const requests = getSpread(view, 'requests');
     if (!isPlain && !isShortPrompt(request) && !variant.isForLong) {
       requests.record(1, now);
-      return chooseToday(view, request, view.servers);
+      return chooseToday(view, request, view.servers, {hasSpeeds: true});
     }
     const place = {rank: chooser, instances: choosers, ageMs, reportedAt};
     const {unseen, position} = requests.next(place, now);
     const reported = view.servers.reduce(
-      (sum, {others, speed}) => sum + others.inFlight * speed,
+      (sum, server) => sum + countRunning(server) * server.speed,
       0,
     );
     const servers = variant.isUndrained
@@ -218,7 +233,12 @@
     if (isPlain) {
       const targets = servers.map(server => ({
         cost: computePlainCost(server),
-        capacity: MODEL_SLOTS * server.speed,
+        capacity:
+          MODEL_SLOTS *
+          server.speed *
+          (variant.isUndrained
+            ? 1
+            : estimateSentRatio({unseen, reported, speed: server.speed})),
       }));
       return chooseByShare(computeFill(targets, unseen), evenPosition);
     }
