fix(gateway): answer bytes that are no request only once

`caller_connections` had no unit test. The new one found a fault: the answer to bytes that are no request was sent again when a further, incomplete request of the connection ended, and the second call destroyed the connection under the first answer. The callback is now cleared before it is called.

Before: 1 of 10 tests fails (2 calls instead of 1). After: 10 of 10 pass.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -32,7 +32,7 @@
   openRequests: Set<IncomingMessage>;
   /** Bytes received until the end of the last answer. */
   usedBytes: number;
-  /** Called once no complete request waits for its answer. */
+  /** Called, once, when no complete request waits for its answer. */
   onIdle: (() => void) | undefined;
 }
 
@@ -122,7 +122,9 @@
         state.openRequests.delete(request);
         state.usedBytes = socket.bytesRead;
         if (!hasCompleteRequest(state)) {
-          state.onIdle?.();
+          const {onIdle} = state;
+          state.onIdle = undefined;
+          onIdle?.();
         }
       });
     },
