fix(gateway): release a refused connection as soon as its client closes it

A body in small pieces that was refused kept its connection held, so that the close of the client was not read before the linger time of half a second was over. The hold now ends with the refusal, and what the connection still brings is read without the parser and dropped: a body in pieces of one byte would take seconds to parse.

--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -22,11 +22,7 @@
 import type {GrantedAccess} from './access.js';
 import {INITIAL_LIMITS, assertHeaderSize} from './caller_limits.js';
 import {createCallerConnections} from './caller_connections.js';
-import {
-  answerParserError,
-  keepForRefusal,
-  waitForClose,
-} from './caller_sockets.js';
+import {answerParserError, refuseRest, waitForClose} from './caller_sockets.js';
 import {readBody} from './request_body.js';
 import {
   describeInterrupted,
@@ -258,12 +254,12 @@
     error: RouterError,
   ): void {
     if (!request.complete) {
-      // The parser would take unread bytes of the body for the next request.
-      response.shouldKeepAlive = false;
-      if (error.code === 'entry_full' || error.code === 'body_too_large') {
-        const {maximumBodyBytes} = getLimits();
-        keepForRefusal(request, response, {maximumBytes: maximumBodyBytes});
-      }
+      const {maximumBodyBytes} = getLimits();
+      refuseRest(request, response, {
+        error,
+        maximumBytes: maximumBodyBytes,
+        countRead: bytes => memory.countRead(bytes),
+      });
     }
     answer.sendError(error);
   }
--- a/packages/gateway/src/http/caller_sockets.ts
+++ b/packages/gateway/src/http/caller_sockets.ts
@@ -1,6 +1,7 @@
 /** Ends of callers' connections: parser errors, refusals and the last byte. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {RouterError} from '@buckthornbeam/shared';
 
 /** Answers a request that the HTTP parser rejects and closes the connection. */
 export function answerParserError(
@@ -43,25 +44,34 @@
   });
 }
 
+/**
+ * Reads and drops what the connection still brings, without parsing it. Unread bytes
+ * would hide that the caller has closed the connection, and a body in pieces of one
+ * byte takes seconds to parse.
+ */
+function readUnparsed(
+  socket: Socket,
+  countRead: (bytes: number) => void,
+): void {
+  socket.removeAllListeners('data');
+  // The parser of node:http reads the connection itself until there is a new listener.
+  socket.on('data', (bytes: Buffer) => countRead(bytes.length));
+  socket.resume();
+}
+
 /** Time in which a refused caller may go on sending. */
 const LINGER_MS = 500;
 const LINGER_POLL_MS = 50;
 
-/** Options of {@link keepForRefusal}. */
-export interface RefusalOptions {
-  /** Bytes that are dropped before the connection is closed. */
-  maximumBytes: number;
-}
-
 /**
  * Reads on for a moment after the refusal of a body that is still being sent. A
  * connection that is closed with unread bytes is reset, and its caller may not get
  * the refusal.
  */
-export function keepForRefusal(
-  {socket}: IncomingMessage,
+function keepForRefusal(
+  socket: Socket,
   response: ServerResponse,
-  {maximumBytes}: RefusalOptions,
+  maximumBytes: number,
 ): void {
   // node:http calls this after the last answer of a connection.
   socket.destroySoon = () => {
@@ -84,3 +94,26 @@
     });
   });
 }
+
+/** Options of {@link refuseRest}. */
+export interface RefusalOptions {
+  error: RouterError;
+  /** Bytes that are dropped before the connection is closed. */
+  maximumBytes: number;
+  /** Counts the bytes that are dropped. */
+  countRead: (bytes: number) => void;
+}
+
+/** Drops the rest of a body that is refused; its connection is closed after the answer. */
+export function refuseRest(
+  {socket}: IncomingMessage,
+  response: ServerResponse,
+  {error, maximumBytes, countRead}: RefusalOptions,
+): void {
+  // The parser would take unread bytes of the body for the next request.
+  response.shouldKeepAlive = false;
+  readUnparsed(socket, countRead);
+  if (error.code === 'entry_full' || error.code === 'body_too_large') {
+    keepForRefusal(socket, response, maximumBytes);
+  }
+}
--- a/packages/gateway/src/http/request_body.ts
+++ b/packages/gateway/src/http/request_body.ts
@@ -101,6 +101,7 @@
       // The bytes are of no use, although the request may stay open for long.
       received.takeAll();
       account?.release();
+      pacer.stop();
       reject(error);
     }
     /** Fails a body that has not ended; a complete one may be in use. */
--- a/packages/shared/src/read_pacer.ts
+++ b/packages/shared/src/read_pacer.ts
@@ -24,6 +24,8 @@
    */
   pause(): void;
   resume(): void;
+  /** Ends the pacing; the connection is held no longer. */
+  stop(): void;
 }
 
 /** Holds back the reading of a connection, also while node:http resumes it. */
@@ -169,8 +171,8 @@
 /** Options of {@link createReadPacer}. */
 export interface ReadPacerOptions {
   /**
-   * Called if too many other bodies in small pieces wait; it closes the connection
-   * of this one. Without it, the body waits in any case.
+   * Called if too many other bodies in small pieces wait; it stops the pacing and
+   * closes the connection of this one. Without it, the body waits in any case.
    */
   onCrowded?: () => void;
 }
@@ -182,13 +184,14 @@
   let pieces = 0;
   let isPausedByConsumer = false;
   let isWaitingForTurn = false;
+  let isStopped = false;
   let heldGate: SocketGate | undefined;
 
   function updateGate(): void {
     const {socket} = body;
     // After a complete message, its connection may be in use for the next one.
     const canHold = socket && !body.complete && !body.destroyed;
-    const shouldHold = isPausedByConsumer || isWaitingForTurn;
+    const shouldHold = !isStopped && (isPausedByConsumer || isWaitingForTurn);
     if (shouldHold && canHold && !heldGate) {
       heldGate = getSocketGate(socket);
       heldGate.hold();
@@ -199,19 +202,25 @@
   }
 
   function endTurn(): void {
+    if (isStopped) {
+      return;
+    }
     updateGate();
     waitForTurn({
       resume: () => {
         isWaitingForTurn = false;
         updateGate();
       },
-      isClosed: () => body.destroyed,
+      isClosed: () => body.destroyed || isStopped,
       giveUp: onCrowded,
     });
   }
 
   return {
     countPieces: count => {
+      if (isStopped) {
+        return;
+      }
       pieces += count;
       countTurnPieces(count);
       if (pieces >= PIECES_PER_TURN && !isWaitingForTurn) {
@@ -229,5 +238,9 @@
       isPausedByConsumer = false;
       updateGate();
     },
+    stop: () => {
+      isStopped = true;
+      updateGate();
+    },
   };
 }
