fix(gateway): bound the heads of requests that are not complete

Each connection could hold a head of 64 KiB without its end, and nothing counted it. Between two samples the parser bounds them: once many connections are open, it accepts the configured header bytes and 8 KiB for the URL on a new one.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {addPacedSockets} from '@buckthornbeam/shared';
+import type {UnfinishedHead} from './unfinished_heads.js';
 
 export interface CallerConnections {
   /** Keeps the connection in use until the answer is handed over. */
@@ -14,6 +15,8 @@
    * if none does.
    */
   waitForAnswers(socket: Socket, run: () => void): void;
+  /** Lists the connections with a part of a head. */
+  listHeads(): UnfinishedHead[];
   /** Closes the connections without a request, also without a part of one. */
   closeIdle(): void;
   count(): number;
@@ -32,6 +35,10 @@
   openRequests: Set<IncomingMessage>;
   /** Bytes received until the end of the last answer. */
   usedBytes: number;
+  /** Bytes received until the end of the last request. */
+  requestBytes: number;
+  /** A request was refused within its body, so that the rest is dropped. */
+  isDropped: boolean;
   /** Called, once, when no complete request waits for its answer. */
   onIdle: (() => void) | undefined;
 }
@@ -52,6 +59,17 @@
   return [...openRequests].some(request => request.complete);
 }
 
+/** Computes the bytes of a head that is not complete; the body of a request may follow it. */
+function computeHeadBytes(
+  {bytesRead}: Socket,
+  {openRequests, usedBytes, requestBytes, isDropped}: ConnectionState,
+): number {
+  const hasBody = [...openRequests].some(request => !request.complete);
+  return hasBody || isDropped
+    ? 0
+    : bytesRead - Math.max(usedBytes, requestBytes);
+}
+
 /** Follows the connections of a server from now on. */
 export function createCallerConnections(
   server: Server,
@@ -104,6 +122,8 @@
     connections.set(socket, {
       openRequests: new Set(),
       usedBytes: 0,
+      requestBytes: 0,
+      isDropped: false,
       onIdle: undefined,
     });
     socket.on('close', () => connections.delete(socket));
@@ -118,9 +138,13 @@
         return;
       }
       state.openRequests.add(request);
+      request.once('end', () => {
+        state.requestBytes = socket.bytesRead;
+      });
       response.once('close', () => {
         state.openRequests.delete(request);
         state.usedBytes = socket.bytesRead;
+        state.isDropped ||= !request.complete;
         if (!hasCompleteRequest(state)) {
           const {onIdle} = state;
           state.onIdle = undefined;
@@ -136,6 +160,16 @@
         run();
       }
     },
+    listHeads: () => {
+      const heads: UnfinishedHead[] = [];
+      for (const [socket, state] of connections) {
+        const bytes = computeHeadBytes(socket, state);
+        if (bytes > 0) {
+          heads.push({socket, bytes});
+        }
+      }
+      return heads;
+    },
     closeIdle: () => {
       for (const [socket, {openRequests, usedBytes}] of connections) {
         if (openRequests.size === 0 && socket.bytesRead === usedBytes) {
--- a/packages/gateway/src/http/caller_limits.ts
+++ b/packages/gateway/src/http/caller_limits.ts
@@ -11,6 +11,40 @@
   idleTimeoutMs: 15_000,
 };
 
+/** Above any configured limit, so that the configured limit is the one enforced. */
+const PARSER_MAXIMUM_HEADER_BYTES = 65_536;
+/** Part of the memory for bodies and responses that heads of this length may take. */
+const LONG_HEAD_RATIO = 1 / 8;
+/** The parser counts the URL as well, the configured limit does not. */
+const URL_BYTES = 8192;
+
+/** Options of {@link computeParserLimit}. */
+export interface ParserLimitOptions {
+  /** Connections that are open. */
+  connections: number;
+  /** Memory for bodies and responses; Infinity without a limit. */
+  memoryBytes: number;
+  limits: CallerLimits;
+}
+
+/**
+ * Computes the bytes that the parser accepts as the head on a further connection. With
+ * many connections they are those that the configuration allows.
+ */
+export function computeParserLimit({
+  connections,
+  memoryBytes,
+  limits,
+}: ParserLimitOptions): number {
+  const bytes = (connections + 1) * PARSER_MAXIMUM_HEADER_BYTES;
+  return bytes <= memoryBytes * LONG_HEAD_RATIO
+    ? PARSER_MAXIMUM_HEADER_BYTES
+    : Math.min(
+        PARSER_MAXIMUM_HEADER_BYTES,
+        limits.maximumHeaderBytes + URL_BYTES,
+      );
+}
+
 function countHeaderBytes(headers: readonly string[]): number {
   let bytes = 0;
   for (const text of headers) {
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -1,9 +1,7 @@
 /** HTTP server for callers: accepts requests, enforces limits and relays them. */
 import {setMaxListeners} from 'node:events';
-import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
-import {RouterError, splitAddress, toRouterError} from '@buckthornbeam/shared';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {RouterError, toRouterError} from '@buckthornbeam/shared';
 import type {Clock, LogFields, Logger} from '@buckthornbeam/shared';
 import type {GatewayMetrics} from '../metrics.js';
 import {createMemoryBudget} from '../memory/memory_budget.js';
@@ -21,8 +19,8 @@
 import {HeadAccess} from './access.js';
 import type {GrantedAccess} from './access.js';
 import {INITIAL_LIMITS, assertHeaderSize} from './caller_limits.js';
-import {createCallerConnections} from './caller_connections.js';
-import {answerParserError, refuseRest, waitForClose} from './caller_sockets.js';
+import {createCallerListener} from './caller_listener.js';
+import {refuseRest, waitForClose} from './caller_sockets.js';
 import {readBody} from './request_body.js';
 import {
   describeInterrupted,
@@ -85,13 +83,6 @@
   memory: RequestMemory;
 }
 
-/** Above any configured limit, so that the configured limit is the one enforced. */
-const PARSER_MAXIMUM_HEADER_BYTES = 65_536;
-const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 500;
-/** Added to the configured idle timeout, so that callers close idle connections first. */
-const IDLE_TIMEOUT_MARGIN_MS = 1000;
-/** Length of the accept queue, for bursts of new connections. */
-const ACCEPT_BACKLOG = 1024;
 /** Sent with the error `leaving` of a stopping instance. */
 const SHUTDOWN_RETRY_AFTER_MS = 50;
 const OVERLOAD_RETRY_AFTER_MS = 300;
@@ -335,46 +326,19 @@
     }
   }
 
-  const server: Server = createServer(
-    {
-      maxHeaderSize: PARSER_MAXIMUM_HEADER_BYTES,
-      connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS,
-      requestTimeout: 0,
-      noDelay: true,
-    },
-    (request, response) => {
-      const limits = getLimits();
-      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
-      server.headersTimeout = limits.headerTimeoutMs;
-      connections.recordRequest(request, response);
-      void serveRequest(request, response);
-    },
-  );
-  const connections = createCallerConnections(server, {
+  const listener = createCallerListener({
+    address: options.address,
+    getLimits,
+    memory,
     maximumConnections: options.maximumConnections ?? Infinity,
-    onFull: () => reports?.record('connections'),
+    reports,
+    onRequest: (request, response) => void serveRequest(request, response),
   });
-  server.on('clientError', (error, socket) => {
-    // Before that answer, the status would be taken for that of its request.
-    connections.waitForAnswers(socket as Socket, () =>
-      answerParserError(error, socket as Socket),
-    );
-  });
-  server.keepAliveTimeout =
-    INITIAL_LIMITS.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
 
   return {
-    start: () =>
-      new Promise((resolve, reject) => {
-        const address = splitAddress(options.address);
-        server.once('error', reject);
-        server.listen({...address, backlog: ACCEPT_BACKLOG}, () => {
-          server.removeListener('error', reject);
-          resolve();
-        });
-      }),
+    start: () => listener.start(),
     countOpen: () => openRequests.size,
-    countConnections: () => connections.count(),
+    countConnections: () => listener.connections.count(),
     beginDrain: endAt => {
       stopStartedAt ??= clock.now();
       requestsEndAt = endAt;
@@ -386,10 +350,7 @@
       logInterrupted();
       stopping.abort();
     },
-    closeIdleConnections: () => connections.closeIdle(),
-    stop: () => {
-      server.close();
-      connections.closeIdle();
-    },
+    closeIdleConnections: () => listener.connections.closeIdle(),
+    stop: () => listener.stop(),
   };
 }
--- a/packages/gateway/src/memory/memory_budget.ts
+++ b/packages/gateway/src/memory/memory_budget.ts
@@ -1,6 +1,6 @@
 /**
- * Counts the memory of bodies and responses of all requests against one limit. At
- * the limit, unfinished and slow bodies give way to others, those of requests
+ * Counts the memory of heads, bodies and responses of all requests against one limit. At
+ * the limit, unfinished and slow ones give way to others, those of requests
  * without a known key first.
  */
 import type {Clock} from '@buckthornbeam/shared';
@@ -59,14 +59,21 @@
   evict: (() => void) | undefined;
 }
 
-/** Part of the limit that bodies of requests leave to responses. */
+/** Part of the limit that requests leave to responses. */
 const RESPONSE_RATIO = 0.25;
 
 /** Needs no room that is taken by uncollected buffers: they are freed soon. */
 const SMALL_BYTES = 65_536;
 
-function isRequestBody({use}: MemoryClaim): boolean {
-  return use === MemoryUse.RECEIVING || use === MemoryUse.BODY;
+/** Uses that leave a part of the limit to responses. */
+const REQUEST_USES: ReadonlySet<MemoryUse> = new Set([
+  MemoryUse.HEAD,
+  MemoryUse.RECEIVING,
+  MemoryUse.BODY,
+]);
+
+function isOfRequest({use}: MemoryClaim): boolean {
+  return REQUEST_USES.has(use);
 }
 
 export function createMemoryBudget(options: MemoryBudgetOptions): MemoryBudget {
@@ -83,7 +90,7 @@
   function addBytes(account: OpenAccount, bytes: number): void {
     account.bytes += bytes;
     heldBytes += bytes;
-    if (isRequestBody(account)) {
+    if (isOfRequest(account)) {
       requestBytes += bytes;
     }
   }
@@ -105,7 +112,7 @@
   /** Bytes above the limit, with `bytes` more for this claim; 0 or less if they fit. */
   function computeExcess(claim: MemoryClaim, bytes: number): number {
     const total = heldBytes + bytes - limitBytes;
-    return isRequestBody(claim)
+    return isOfRequest(claim)
       ? Math.max(
           total,
           requestBytes + bytes - limitBytes * (1 - RESPONSE_RATIO),
--- a/packages/gateway/src/memory/memory_claims.ts
+++ b/packages/gateway/src/memory/memory_claims.ts
@@ -2,6 +2,8 @@
 
 /** What memory is used for. */
 export const MemoryUse = {
+  /** Head of a request that is not complete. */
+  HEAD: 'head',
   /** Body of a request that is not complete. */
   RECEIVING: 'receiving',
   /** Complete body of a request. */
@@ -26,6 +28,7 @@
 
 /** Uses that wait for a client. */
 const WAITS_FOR_CLIENT: Readonly<Record<MemoryUse, boolean>> = {
+  [MemoryUse.HEAD]: true,
   [MemoryUse.RECEIVING]: true,
   [MemoryUse.BODY]: false,
   [MemoryUse.RESPONSE]: false,
