fix(gateway): bound the connections and answers of peers and status requests

The ports for peers, readiness, addresses and metrics had no limit. They now have shares of the descriptors, 442 connections of peers on the smallest machine (419 are needed); beyond the reserved 3 % they take the place of idle connections of callers.

--- a/packages/gateway/__tests__/caller_connections.spec.ts
+++ b/packages/gateway/__tests__/caller_connections.spec.ts
@@ -12,7 +12,7 @@
   const server = new EventEmitter();
   let refusals = 0;
   const connections = createCallerConnections(server as unknown as Server, {
-    maximumConnections: MAXIMUM_CONNECTIONS,
+    getMaximum: () => MAXIMUM_CONNECTIONS,
     onFull: () => (refusals += 1),
   });
   const sockets: FakeSocket[] = [];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import type {AccessOptions, GrantedAccess} from './http/access.js';
 import {createCallerServer} from './http/caller_server.js';
 import type {CallerServer} from './http/caller_server.js';
+import {createConnectionShare} from './http/connection_share.js';
 import {createQuarantineHandler} from './http/quarantine_handler.js';
 import {createStatusHandlers} from './http/status_handlers.js';
 import {createStatusServers} from './http/status_server.js';
@@ -314,9 +315,13 @@
     logger,
     onRefusal: reason => metrics.countLimit(reason),
   });
-  const {maximumConnections, maximumRequests} = computeConnectionLimits(
-    settings.machine,
-  );
+  const connectionLimits = computeConnectionLimits(settings.machine);
+  const share = createConnectionShare({
+    ...connectionLimits,
+    countCallers: () => callerServer.countConnections(),
+    countStatus: () => statusServers.countConnections(),
+    closeCallersBeyond: count => callerServer.closeConnectionsBeyond(count),
+  });
 
   const connections = createServerConnections({
     onOpen: () => metrics.countConnection(),
@@ -410,8 +415,8 @@
     grantAccess,
     checkHead: metadata => checkHead(metadata, getAccessOptions()),
     memory,
-    maximumConnections,
-    maximumRelayedRequests: maximumRequests,
+    getMaximumConnections: () => share.computeCallerMaximum(),
+    maximumRelayedRequests: connectionLimits.maximumRequests,
     reports,
     getLimits: () => clusterState.getConfiguration()?.limits,
     describeClusterState: () => ({
@@ -447,20 +452,42 @@
     addressTtlS: Math.min(ADDRESS_TTL_S, settings.addresses.maximumTtlS),
   });
 
-  const statusServers = createStatusServers([
-    [settings.listen.readiness, handlers.answerReadiness],
-    [settings.listen.addresses, handlers.answerAddresses],
-    [settings.listen.peers, handlers.answerClusterState],
-    ...(settings.listen.metrics
-      ? [
-          [settings.listen.metrics, handlers.answerMetrics] as const,
-          [
-            settings.listen.metrics,
-            createQuarantineHandler({quarantine, clock}),
-          ] as const,
-        ]
-      : []),
-  ]);
+  const {listen} = settings;
+  const {peerConnections, statusConnections} = connectionLimits;
+  const statusServers = createStatusServers(
+    [
+      {
+        address: listen.readiness,
+        handler: handlers.answerReadiness,
+        maximumConnections: statusConnections,
+      },
+      {
+        address: listen.addresses,
+        handler: handlers.answerAddresses,
+        maximumConnections: statusConnections,
+      },
+      {
+        address: listen.peers,
+        handler: handlers.answerClusterState,
+        maximumConnections: peerConnections,
+      },
+      ...(listen.metrics
+        ? [
+            {
+              address: listen.metrics,
+              handler: handlers.answerMetrics,
+              maximumConnections: statusConnections,
+            },
+            {
+              address: listen.metrics,
+              handler: createQuarantineHandler({quarantine, clock}),
+              maximumConnections: 0,
+            },
+          ]
+        : []),
+    ],
+    {memory, reports, makeRoom: () => share.makeRoom()},
+  );
 
   function runMaintenance(): void {
     keyTrust.checkSuspension();
--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -1,5 +1,5 @@
 /**
- * Tells idle connections of callers from those in use. `closeIdleConnections` of
+ * Tells idle connections of clients from those in use. `closeIdleConnections` of
  * node:http also closes connections on which an answer still waits to be sent.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
@@ -19,13 +19,17 @@
   listHeads(): UnfinishedHead[];
   /** Closes the connections without a request, also without a part of one. */
   closeIdle(): void;
+  /** Counts the requests of a connection whose answers are under way. */
+  countRequests(socket: Socket): number;
+  /** Closes connections without a request until this many are open. */
+  closeBeyond(count: number): void;
   count(): number;
 }
 
 /** Options of {@link createCallerConnections}. */
 export interface CallerConnectionsOptions {
-  /** Connections that may be open; Infinity by default. */
-  maximumConnections?: number;
+  /** Tells how many connections may be open; Infinity by default. */
+  getMaximum?: () => number;
   /** Called when a connection is closed because too many are open. */
   onFull?: () => void;
 }
@@ -74,7 +78,7 @@
 export function createCallerConnections(
   server: Server,
   {
-    maximumConnections = Infinity,
+    getMaximum = () => Infinity,
     onFull = () => undefined,
   }: CallerConnectionsOptions = {},
 ): CallerConnections {
@@ -102,20 +106,22 @@
     return idlest;
   }
 
-  function closeIdlest(): void {
+  /** Returns false if all connections are in use. */
+  function closeIdlest(): boolean {
     const socket = findIdlest();
     if (socket) {
       connections.delete(socket);
       socket.destroy();
     }
+    return socket !== undefined;
   }
 
   server.on('connection', (socket: Socket) => {
-    if (connections.size >= maximumConnections) {
+    if (connections.size >= getMaximum()) {
       onFull();
       closeIdlest();
     }
-    if (connections.size >= maximumConnections) {
+    if (connections.size >= getMaximum()) {
       socket.destroy();
       return;
     }
@@ -160,6 +166,10 @@
         run();
       }
     },
+    countRequests: socket => connections.get(socket)?.openRequests.size ?? 0,
+    closeBeyond: count => {
+      while (connections.size > count && closeIdlest());
+    },
     listHeads: () => {
       const heads: UnfinishedHead[] = [];
       for (const [socket, state] of connections) {
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -18,8 +18,8 @@
   address: string;
   getLimits: () => CallerLimits;
   memory: MemoryBudget;
-  /** Connections of callers that may be open; Infinity by default. */
-  maximumConnections?: number;
+  /** Tells how many connections may be open; Infinity by default. */
+  getMaximumConnections?: (() => number) | undefined;
   reports?: LimitReports | undefined;
   onRequest: (request: IncomingMessage, response: ServerResponse) => void;
 }
@@ -36,7 +36,7 @@
 const IDLE_TIMEOUT_MARGIN_MS = 1000;
 /** Length of the accept queue, for bursts of new connections. */
 const ACCEPT_BACKLOG = 1024;
-/** Takes below a hundredth of the smallest machine with all its connections. */
+/** What arrives between two samples is bounded by the limit of the parser. */
 const HEAD_SAMPLE_INTERVAL_MS = 50;
 
 /** node:http reads this property for each new connection. */
@@ -46,7 +46,7 @@
   address,
   getLimits,
   memory,
-  maximumConnections = Infinity,
+  getMaximumConnections = () => Infinity,
   reports,
   onRequest,
 }: CallerListenerOptions): CallerListener {
@@ -68,7 +68,7 @@
     INITIAL_LIMITS.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
 
   const connections = createCallerConnections(server, {
-    maximumConnections,
+    getMaximum: getMaximumConnections,
     onFull: () => reports?.record('connections'),
   });
   const heads = createUnfinishedHeads({
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -49,8 +49,8 @@
   checkHead?: (metadata: RequestMetadata) => HeadAccess;
   /** Memory for bodies and responses; without a limit by default. */
   memory?: MemoryBudget;
-  /** Connections of callers that may be open; Infinity by default. */
-  maximumConnections?: number;
+  /** Tells how many connections may be open; Infinity by default. */
+  getMaximumConnections?: () => number;
   reports?: LimitReports;
   clock: Clock;
   logger: Logger;
@@ -62,6 +62,8 @@
   /** Counts requests whose answer is not yet handed over to the last byte. */
   countOpen(): number;
   countConnections(): number;
+  /** Closes connections without a request until this many are open. */
+  closeConnectionsBeyond(count: number): void;
   /**
    * Closes each connection after its next answer. A request is refused unless it can
    * be expected to end before the time of the clock at which open requests end.
@@ -330,7 +332,7 @@
     address: options.address,
     getLimits,
     memory,
-    maximumConnections: options.maximumConnections ?? Infinity,
+    getMaximumConnections: options.getMaximumConnections,
     reports,
     onRequest: (request, response) => void serveRequest(request, response),
   });
@@ -339,6 +341,7 @@
     start: () => listener.start(),
     countOpen: () => openRequests.size,
     countConnections: () => listener.connections.count(),
+    closeConnectionsBeyond: count => listener.connections.closeBeyond(count),
     beginDrain: endAt => {
       stopStartedAt ??= clock.now();
       requestsEndAt = endAt;
--- a/packages/gateway/src/http/unfinished_heads.ts
+++ b/packages/gateway/src/http/unfinished_heads.ts
@@ -26,8 +26,9 @@
 }
 
 /**
- * Memory of the fields that the parser has split already, as a ratio to their bytes:
- * each short name or value is a string of its own.
+ * Memory of the fields that the parser has split already, as a ratio to their bytes. A
+ * field of ten bytes becomes two strings of 16 to 24 bytes each, in a list that grows by
+ * copying.
  */
 const FIELD_RATIO = 8;
 /** node:http keeps 1000 fields of a head at most. */
--- a/packages/gateway/src/memory/machine_limits.ts
+++ b/packages/gateway/src/memory/machine_limits.ts
@@ -7,8 +7,14 @@
 }
 
 export interface ConnectionLimits {
-  /** Connections of callers. */
+  /** Connections of callers while few status requests are under way. */
   maximumConnections: number;
+  /** Connections of status requests that callers leave free. */
+  reservedConnections: number;
+  /** Connections of peers. */
+  peerConnections: number;
+  /** Connections of status requests of each kind. */
+  statusConnections: number;
   /** Requests that may each need a connection to a server. */
   maximumRequests: number;
 }
@@ -39,15 +45,29 @@
 const MAXIMUM_FILE_RATIO = 0.25;
 /** Connections of callers that stay open between requests need no server. */
 const CALLER_RATIO = 0.6;
-/** The rest is for the store, peers and status requests. */
 const REQUEST_RATIO = 0.35;
+/** The rest, a fiftieth, is for the store and the listeners. */
+const RESERVED_RATIO = 0.03;
+/**
+ * Holds one connection of each of 419 peers on the smallest machine. Connections of peers
+ * beyond the reserved ones take the place of idle connections of callers.
+ */
+const PEER_RATIO = 0.22;
+/** Such a connection is in use for milliseconds. */
+const STATUS_RATIO = 0.03;
 
 /** Divides the descriptors; Infinity without a stated limit. */
 export function computeConnectionLimits({
   maximumDescriptors,
 }: MachineLimits): ConnectionLimits {
   if (maximumDescriptors === undefined) {
-    return {maximumConnections: Infinity, maximumRequests: Infinity};
+    return {
+      maximumConnections: Infinity,
+      reservedConnections: Infinity,
+      peerConnections: Infinity,
+      statusConnections: Infinity,
+      maximumRequests: Infinity,
+    };
   }
   const reserved = Math.min(
     FILE_DESCRIPTORS,
@@ -56,6 +76,9 @@
   const usable = maximumDescriptors - reserved;
   return {
     maximumConnections: Math.floor(usable * CALLER_RATIO),
+    reservedConnections: Math.floor(usable * RESERVED_RATIO),
+    peerConnections: Math.floor(usable * PEER_RATIO),
+    statusConnections: Math.floor(usable * STATUS_RATIO),
     maximumRequests: Math.floor(usable * REQUEST_RATIO),
   };
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -30,7 +30,11 @@
 export {Outcome} from './outcomes.js';
 export {createRandom, pickOne, pickSample} from './random.js';
 export type {RandomSource} from './random.js';
-export {addPacedSockets, createReadPacer} from './read_pacer.js';
+export {
+  addPacedSockets,
+  countTurnPieces,
+  createReadPacer,
+} from './read_pacer.js';
 export type {PacedBody, ReadPacer} from './read_pacer.js';
 export {readText} from './read_text.js';
 export {
--- a/packages/shared/src/read_pacer.ts
+++ b/packages/shared/src/read_pacer.ts
@@ -113,7 +113,8 @@
   });
 }
 
-function countTurnPieces(count: number): void {
+/** Counts pieces that were read in this turn; after many, nothing more is read in it. */
+export function countTurnPieces(count: number): void {
   if (turnPieces === 0) {
     setImmediate(() => {
       turnPieces = 0;
