refactor(gateway): split request_relay.ts

The file had 528 lines. Running one attempt moves to attempt_runner.ts, the interfaces of a request and its dependencies to relay_context.ts; 374 lines stay. Behaviour is the same.

--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -5,30 +5,18 @@
  */
 import {ServerOutcome} from '@buckthornbeam/decisions';
 import {Outcome, RouterError} from '@buckthornbeam/shared';
-import type {Clock} from '@buckthornbeam/shared';
-import type {RequestMemory} from '../memory/request_memory.js';
-import {RouteKind} from '../model.js';
-import type {Customer, RequestMetadata, Route} from '../model.js';
-import type {RawHeaders, ServerDialect} from '../ports.js';
-import type {CustomerAdmission} from '../state/customer_admission.js';
-import type {RequestUrgency} from '../state/request_urgency.js';
-import type {RepeatBudgets} from '../state/repeat_budgets.js';
-import type {ServerActivity} from '../state/server_activity.js';
 import type {
   SelectedServer,
   SelectionLimits,
-  ServerSelection,
 } from '../state/server_selection.js';
-import {AttemptEnd, isSuccess, startAttempt} from './attempt.js';
-import type {AttemptResult, StreamSink} from './attempt.js';
-import type {Admission} from './admission_reason.js';
+import {AttemptEnd, isSuccess} from './attempt.js';
+import type {AttemptResult} from './attempt.js';
 import {resolveFailureOutcome} from './attempt_failure.js';
-import {watchAttempt} from './attempt_watch.js';
+import {QUARANTINED_REASON, createAttemptRunner} from './attempt_runner.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {createPromptTracker} from './prompt_tracker.js';
-import type {AttemptTracker} from './prompt_tracker.js';
-import type {QuarantineGuard} from './quarantine_guard.js';
 import {isRepeatable} from './repeatable.js';
+import type {AcceptedRequest, RelayContext} from './relay_context.js';
 import {addWait, createRelayReport} from './relay_report.js';
 import type {RelayReport} from './relay_report.js';
 import {
@@ -39,62 +27,13 @@
 } from './result_errors.js';
 import {computeRetryAfter, computeShareRetryAfter} from './retry_after.js';
 import {waitForServer} from './server_wait.js';
-import type {ServerConnections} from './server_connections.js';
 
+export type {AcceptedRequest, RelayContext} from './relay_context.js';
 export type {RelayReport} from './relay_report.js';
 
-/** Dependencies that all requests of an instance share. */
-export interface RelayContext {
-  clock: Clock;
-  dialect: ServerDialect;
-  connections: ServerConnections;
-  selection: ServerSelection;
-  activity: ServerActivity;
-  budgets: RepeatBudgets;
-  /** Divides scarce capacity between customers; undefined if that is off. */
-  customers?: CustomerAdmission | undefined;
-  /** Largest answer that is buffered, in bytes. */
-  maximumAnswerBytes: number;
-  quarantine: QuarantineGuard;
-  /** Orders requests by urgency; without it they take capacity as they find it. */
-  admission?: Admission;
-  /** Called without `admission` when no server has capacity for a request. */
-  onLack?: (route: Route, now: number) => void;
-  random: () => number;
-  /** Aborted when the instance ends the requests that are still open. */
-  stopSignal: AbortSignal;
-}
-
-/** A request with complete body, route and customer. */
-export interface AcceptedRequest {
-  metadata: RequestMetadata;
-  route: Route;
-  customer: Customer | undefined;
-  urgency: RequestUrgency;
-  method: string;
-  url: string;
-  headers: RawHeaders;
-  body: Buffer;
-  /** Time of the clock at which the headers arrived, in milliseconds. */
-  receivedAt: number;
-  /** Aborted when the caller disconnects. */
-  disconnectSignal: AbortSignal;
-  /** Counts the memory of responses; not counted by default. */
-  memory?: RequestMemory;
-}
-
-/** A server ends a request at its deadline; this leaves time for its answer to arrive. */
-const ANSWER_GRACE_MS = 80;
 /** A request is repeated only with more time than this until its deadline. */
 const MINIMUM_ATTEMPT_MS = 15;
-/**
- * Fraction of the remaining time after which an attempt of a safe request is
- * given up if another server may run it.
- */
-const SLOW_SERVER_RATIO = 0.4;
 const FIRST_SERVER_ERROR_STATUS = 500;
-/** Reason of an attempt that ends because its prompt is quarantined. */
-const QUARANTINED_REASON = 'prompt_quarantined';
 
 /** Relays a request until its caller has an answer or has disconnected. */
 export async function relayRequest(
@@ -102,9 +41,8 @@
   answer: CallerAnswer,
   context: RelayContext,
 ): Promise<RelayReport> {
-  const {clock, selection, activity, budgets, customers, stopSignal} = context;
+  const {clock, selection, budgets, customers, stopSignal} = context;
   const {route, metadata, receivedAt, disconnectSignal} = request;
-  const isStream = route.kind === RouteKind.STREAM;
   const timeLimitMs = Math.min(
     metadata.deadlineMs ?? Infinity,
     route.timeoutMs,
@@ -121,7 +59,6 @@
   });
   /** Number of servers on which the request may have run. */
   let possibleRuns = 0;
-  let lastEventId = metadata.lastEventId;
   let lastFailure: AttemptResult | undefined;
   /** Chosen for the next attempt before a running one is given up. */
   let successor: SelectedServer | undefined;
@@ -246,38 +183,6 @@
     return result.selected;
   }
 
-  function createSink(
-    selected: SelectedServer,
-    tracking: {endAnswer?: () => void},
-    tracker: AttemptTracker,
-  ): StreamSink {
-    return {
-      acceptHead: head => {
-        markFirstByte();
-        selected.markPrefilled(clock.now());
-        tracking.endAnswer = activity.beginAnswer(
-          selected.server.id,
-          clock.now(),
-        );
-        if (!answer.hasBegun) {
-          answer.beginStream(head);
-        }
-      },
-      acceptEvents: events => {
-        for (const {id} of events) {
-          lastEventId = id ?? lastEventId;
-          tracker.recordEvent();
-        }
-        selected.progress?.recordEvents(events.length, clock.now());
-        return answer.sendChunk(
-          events.length === 1
-            ? events[0]!.bytes
-            : Buffer.concat(events.map(({bytes}) => bytes)),
-        );
-      },
-    };
-  }
-
   function hasTimeToRepeat(): boolean {
     return deadlineAt - clock.now() > MINIMUM_ATTEMPT_MS;
   }
@@ -308,75 +213,16 @@
     return next !== undefined;
   }
 
-  async function runAttempt(selected: SelectedServer): Promise<AttemptResult> {
-    const {server, service, requestHandle} = selected;
-    const {customer} = request;
-    const tracking: {endAnswer?: () => void} = {};
-    const tracker = prompt.createAttempt(server);
-    report.servers.push(server.id);
-    const sentAt = clock.now();
-    report.sentMs.push(sentAt - receivedAt);
-    report.placement = selected.placement;
-    report.isDiverted ||= selected.isDiverted;
-    report.loadAgeMs = selected.loadAgeMs;
-    const responseMemory = request.memory?.openResponse();
-    const attempt = startAttempt({
-      agent: context.connections.agent,
-      address: server.address,
-      method: request.method,
-      url: request.url,
-      body: request.body,
-      headers: context.dialect.buildHeaders(request.headers, {
-        remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
-        serverId: server.id,
-        customerName: customer?.name,
-        urgency: service.engine ? request.urgency.level : undefined,
-        copySource: selected.copySource,
-        lastEventId,
-      }),
-      requestId: metadata.id,
-      isRepeatable: isRepeatable(route),
-      isResumed: route.isResumable && lastEventId !== undefined,
-      dialect: context.dialect,
-      maximumBodyBytes: context.maximumAnswerBytes,
-      reserve: bytes => responseMemory?.resize(bytes) ?? true,
-      onRead: bytes => request.memory?.countRead(bytes),
-      onHead: () => tracker.recordHead(),
-      onStatement: statement =>
-        selection.recordStatement(server, statement, {
-          requestId: metadata.id,
-          sentAt,
-          headAt: clock.now(),
-        }),
-      onActivity: () => activity.recordActivity(server.id, clock.now()),
-      ...(isStream ? {sink: createSink(selected, tracking, tracker)} : {}),
-    });
-    answer.onDrain(() => attempt.resume());
-    const stopWatching = watchAttempt({
-      attempt,
-      clock,
-      endsAt: deadlineAt + ANSWER_GRACE_MS,
-      slowAt:
-        route.kind === RouteKind.SAFE
-          ? sentAt + (deadlineAt - sentAt) * SLOW_SERVER_RATIO
-          : Infinity,
-      isSilent: () =>
-        activity.isUnresponsive(server.id, clock.now(), route.eventPauseMs),
-      claimSuccessor: () => claimSuccessor(selected),
-      disconnectSignal,
-      stopSignal,
-    });
-    tracker.start(() => attempt.abort(QUARANTINED_REASON));
-    const result = await attempt.result;
-    stopWatching();
-    tracker.end(result);
-    selected.progress?.end(clock.now());
-    tracking.endAnswer?.();
-    requestHandle.end();
-    report.reasons.push(result.reason);
-    report.connections.push(result.connection ?? '-');
-    return result;
-  }
+  const attempts = createAttemptRunner({
+    request,
+    answer,
+    context,
+    report,
+    prompt,
+    deadlineAt,
+    markFirstByte,
+    claimSuccessor,
+  });
 
   function isServerFailure(result: AttemptResult): boolean {
     return (result.head?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
@@ -497,7 +343,7 @@
       if (report.servers.length === 0) {
         customers?.recordService(request, clock.now());
       }
-      const result = await runAttempt(selected);
+      const result = await attempts.run(selected);
       if (result.reason === QUARANTINED_REASON) {
         possibleRuns += 1;
         return buildQuarantineError(possibleRuns);
