refactor(gateway): split gateway.ts

The start and the stop are not touched. Behaviour is the same.

19 of 19 tests of gateway_stop, gateway_start, gateway_leaving, code_cache and boundary pass, and 19 of 19 of deadly_block, leaving_server and planned_stop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,56 +4,31 @@
   createPrefixLocations,
   createRoomShortages,
 } from '@buckthornbeam/decisions';
-import {
-  createLogger,
-  createSystemClock,
-  pickSample,
-  waitFor,
-} from '@buckthornbeam/shared';
+import {createLogger, createSystemClock, waitFor} from '@buckthornbeam/shared';
 import type {Clock, Logger} from '@buckthornbeam/shared';
-import {
-  checkAccess,
-  checkHead,
-  computeAuthoritativeAge,
-} from './http/access.js';
-import type {AccessOptions, GrantedAccess} from './http/access.js';
 import {createCallerServer} from './http/caller_server.js';
 import type {CallerServer} from './http/caller_server.js';
 import {createConnectionShare} from './http/connection_share.js';
-import {createQuarantineHandler} from './http/quarantine_handler.js';
-import {createStatusHandlers} from './http/status_handlers.js';
-import {createStatusServers} from './http/status_server.js';
+import {createRequestAccess} from './http/request_access.js';
+import {createGatewayRouting} from './gateway_routing.js';
+import {createGatewayState} from './gateway_state.js';
+import {createGatewayStatus} from './gateway_status.js';
 import {createLogWriter} from './log_writer.js';
 import {createMachineMemory} from './memory/machine_memory.js';
 import {computeConnectionLimits} from './memory/machine_limits.js';
 import {createGatewayMetrics} from './metrics.js';
-import type {BackendServer, RequestMetadata} from './model.js';
+import type {BackendServer} from './model.js';
 import {createGossipTask} from './peers/gossip_task.js';
-import {createClusterStateExchange} from './peers/cluster_state_exchange.js';
 import type {CallerDialect, ServerDialect, StoreReader} from './ports.js';
-import {createAdmission} from './relay/admission.js';
-import {AdmissionOrder} from './relay/admission_reason.js';
 import {createQuarantineGuard} from './relay/quarantine_guard.js';
-import {createServerConnections} from './relay/server_connections.js';
 import {createServerProbe} from './relay/server_probe.js';
 import type {GatewaySettings} from './settings.js';
 import {createFaultTracker} from './state/fault_tracker.js';
 import {createCustomerAdmission} from './state/customer_admission.js';
-import {createKeyStaleness} from './state/key_staleness.js';
 import {createClusterState} from './state/cluster_state.js';
-import {createPauseDetector} from './state/pause_detector.js';
-import {createRepeatBudgets} from './state/repeat_budgets.js';
 import {createServerActivity} from './state/server_activity.js';
 import {createServerLoads} from './state/server_loads.js';
-import {createServerSelection} from './state/server_selection.js';
-import {
-  computeReadInterval,
-  createReadSchedule,
-} from './state/read_schedule.js';
-import {createReaderRole} from './state/reader_role.js';
 import {createSpeedTracker} from './state/speed_tracker.js';
-import {createStatementTracker} from './state/statement_tracker.js';
-import {createStoreWatcher} from './state/store_watcher.js';
 
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -82,10 +57,6 @@
 
 /** Interval of suspension checks and of pruning the data of removed servers. */
 const MAINTENANCE_INTERVAL_MS = 250;
-/** TTL of resolved addresses; short, so that callers pick up changes quickly. */
-const ADDRESS_TTL_S = 2;
-/** Callers use at most this many addresses. */
-const MAXIMUM_ADDRESSES = 64;
 /** Requests are accepted after a stop begins until callers' cached addresses expire. */
 const STOP_ACCEPTING_DELAY_MS = 3000;
 /** Idle connections are closed once callers may have resolved other addresses. */
@@ -97,8 +68,6 @@
 /** Part of the grace period in which new requests are accepted at most. */
 const ACCEPTING_RATIO = 0.5;
 const DRAIN_POLL_INTERVAL_MS = 50;
-/** Some turns of the event loop, in which the ends of connections are read. */
-const DISCONNECT_READ_MS = 5;
 
 /** Creates a gateway; it does not listen before `start` is called. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -134,72 +103,15 @@
   let stopped: Promise<void> | undefined;
   let maintenanceTimer: NodeJS.Timeout | undefined;
 
-  const pauses = createPauseDetector({
-    clock,
-    logger,
-    onPause: () => {
-      if (clusterState.getConfiguration() && !keyTrust.isFresh()) {
-        watcher.refresh();
-      }
-    },
-  });
-
-  const seedIndex = settings.seeds.indexOf(settings.listen.peers);
-  const schedule = createReadSchedule({
-    intervalMs: computeReadInterval(
-      Math.min(settings.store.applyMs, settings.store.drainMs),
-    ),
-    seedPlace: seedIndex < 0 ? undefined : seedIndex,
-    startedAt: clock.now(),
-    isFirstStart: settings.isFirstStart,
-    random: Math.random,
-  });
-
-  const readerRole = createReaderRole({
-    self: {
-      instanceId: settings.instanceId,
-      dataCentre: settings.dataCentre,
-    },
-    isLeaving: () => isStopping,
-    listAlive: now => gossip.table.listAlive(now),
-    countKnown: () => gossip.table.listKnown().length,
-    logger,
-  });
-
-  const watcher = createStoreWatcher({
-    reader: options.store,
-    clusterState,
-    clock,
-    logger,
-    watchMs: settings.store.watchMs,
-    computeDelay: () => {
-      const now = clock.now();
-      return schedule.computeDelay({
-        now,
-        hasState: clusterState.getConfiguration() !== undefined,
-        ageMs: clusterState.computeAge(now),
-        ...readerRole.findPlaces(now),
-        peerHeardAt: gossip.getLastHeardAt(),
-        isFetching: stateExchange.isFetching(),
-      });
-    },
-    onRead: isSuccess => {
-      metrics.countStoreRead(isSuccess);
-      if (isSuccess) {
-        schedule.recordSuccess();
-      } else {
-        schedule.recordFailure(clock.now());
-      }
-    },
-  });
-
-  const keyTrust = createKeyStaleness({
+  const {pauses, watcher, keyTrust, stateExchange} = createGatewayState({
+    settings,
+    store: options.store,
     clusterState,
+    isLeaving: () => isStopping,
+    getGossip: () => gossip,
+    onRead: isSuccess => metrics.countStoreRead(isSuccess),
     clock,
     logger,
-    failClosed: settings.keys.failClosed,
-    revokeMs: settings.keys.revokeMs,
-    onSuspension: () => watcher.refresh(),
   });
 
   function isReady(): boolean {
@@ -210,13 +122,6 @@
     );
   }
 
-  const stateExchange = createClusterStateExchange({
-    clusterState,
-    clock,
-    logger,
-    onFetchFailure: () => watcher.refresh(),
-  });
-
   const quarantineGuard = createQuarantineGuard({
     selfId: settings.instanceId,
     listInstances,
@@ -323,79 +228,30 @@
     closeCallersBeyond: count => callerServer.closeConnectionsBeyond(count),
   });
 
-  const connections = createServerConnections({
-    onOpen: () => metrics.countConnection(),
-  });
-
-  const statements = createStatementTracker({
-    logger,
-    onChange: change => metrics.countStatement(change),
-  });
+  const {connections, statements, selection, admission, repeatBudgets} =
+    createGatewayRouting({
+      settings,
+      clusterState,
+      loads,
+      activity,
+      locations,
+      shortages,
+      faults,
+      speeds,
+      listInstances,
+      metrics,
+      clock,
+      logger,
+    });
 
-  const selection = createServerSelection({
-    selfId: settings.instanceId,
-    dataCentre: settings.dataCentre,
-    regions: settings.regions,
+  const access = createRequestAccess({
     clusterState,
-    loads,
-    activity,
-    locations,
-    prefillTokensPerMs: settings.engines.readingTokensPerMs,
-    shortPromptRatio: settings.engines.shortPromptPart,
-    spreading: settings.engines.spreading,
-    listInstances,
-    coldOverage: settings.cold.overage,
-    coldSlack: settings.cold.slack,
-    statements,
-    faults,
-    speeds,
-  });
-
-  const admission =
-    settings.admission.order === AdmissionOrder.URGENCY
-      ? createAdmission({
-          clusterState,
-          shortages,
-          prefillTokensPerMs: settings.engines.readingTokensPerMs,
-          clock,
-          onWaitEnd: ({reason, selected}) =>
-            metrics.countWait(reason, selected !== undefined),
-        })
-      : undefined;
-
-  const repeatBudgets = createRepeatBudgets({
-    fleet: {
-      ratio: settings.repeats.ratio,
-      extra: settings.repeats.extra,
-      windowMs: settings.repeats.windowS * 1000,
-    },
-    countInstances: now => listInstances(now).length,
+    keyTrust,
+    pauses,
+    applyMs: settings.store.applyMs,
+    clock,
   });
 
-  const authoritativeAgeMs = computeAuthoritativeAge(settings.store.applyMs);
-
-  function getAccessOptions(): AccessOptions {
-    return {
-      clusterState,
-      maximumKeyAgeMs: keyTrust.maximumAgeMs,
-      authoritativeAgeMs,
-      now: clock.now(),
-    };
-  }
-
-  async function grantAccess(
-    metadata: RequestMetadata,
-  ): Promise<GrantedAccess> {
-    pauses.checkPause();
-    keyTrust.checkSuspension();
-    if (pauses.computeWaitedMs() > 0) {
-      // The end of the caller's connection may have arrived meanwhile as well.
-      await waitFor(DISCONNECT_READ_MS);
-    }
-    await keyTrust.waitForConfirmation(metadata.deadlineMs);
-    return checkAccess(metadata, getAccessOptions());
-  }
-
   const callerServer: CallerServer = createCallerServer({
     address: settings.listen.callers,
     dialect: callers,
@@ -412,8 +268,8 @@
       random: Math.random,
       ...(admission ? {admission} : {}),
     },
-    grantAccess,
-    checkHead: metadata => checkHead(metadata, getAccessOptions()),
+    grantAccess: access.grantAccess,
+    checkHead: access.checkHead,
     memory,
     getMaximumConnections: () => share.computeCallerMaximum(),
     maximumRelayedRequests: connectionLimits.maximumRequests,
@@ -430,65 +286,21 @@
     metrics,
   });
 
-  /** Lists ready instances, and this one if it is ready or the only candidate. */
-  function listAddresses(): string[] {
-    const addresses = gossip.table
-      .listAlive(clock.now())
-      .filter(({record}) => record.isReady && !record.isLeaving)
-      .map(({record}) => record.callerAddress);
-    if (isReady() || addresses.length === 0) {
-      addresses.push(settings.listen.callers);
-    }
-    return pickSample(addresses, MAXIMUM_ADDRESSES);
-  }
-
-  const handlers = createStatusHandlers({
+  const statusServers = createGatewayStatus({
+    settings,
     dialect: callers,
     clusterState,
     metrics,
-    clock,
+    quarantine,
+    listAlive: now => gossip.table.listAlive(now),
     isReady,
-    listAddresses,
-    addressTtlS: Math.min(ADDRESS_TTL_S, settings.addresses.maximumTtlS),
+    limits: connectionLimits,
+    memory,
+    reports,
+    makeRoom: () => share.makeRoom(),
+    clock,
   });
 
-  const {listen} = settings;
-  const {peerConnections, statusConnections} = connectionLimits;
-  const statusServers = createStatusServers(
-    [
-      {
-        address: listen.readiness,
-        handler: handlers.answerReadiness,
-        maximumConnections: statusConnections,
-      },
-      {
-        address: listen.addresses,
-        handler: handlers.answerAddresses,
-        maximumConnections: statusConnections,
-      },
-      {
-        address: listen.peers,
-        handler: handlers.answerClusterState,
-        maximumConnections: peerConnections,
-      },
-      ...(listen.metrics
-        ? [
-            {
-              address: listen.metrics,
-              handler: handlers.answerMetrics,
-              maximumConnections: statusConnections,
-            },
-            {
-              address: listen.metrics,
-              handler: createQuarantineHandler({quarantine, clock}),
-              maximumConnections: 0,
-            },
-          ]
-        : []),
-    ],
-    {memory, reports, makeRoom: () => share.makeRoom()},
-  );
-
   function runMaintenance(): void {
     keyTrust.checkSuspension();
     selection.prune(clock.now());
