--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 export type {LimitStatement} from '@buckthornbeam/decisions';
 export {createGateway} from './gateway.js';
 export type {Gateway, GatewayOptions} from './gateway.js';
-export {PARSER_MAXIMUM_HEADER_BYTES} from './http/caller_server.js';
+export {PARSER_MAXIMUM_HEADER_BYTES} from './http/caller_limits.js';
 export {RouteKind} from './model.js';
 export type {
   BackendServer,
