fix(gateway): a stop ends before the end of its grace time

Causes, each found with the program in a process of its own: - The margin of 0.4 s before the kill is 48 ms of processor time at 0.12 of a core. Ending 60 streams takes about 60 ms (1 ms each), so that the process was late. - The grace time was counted from the handling of the signal, which waits while the event loop is blocked or the process is suspended. - The steps of a stop were consecutive waits, so that a pause in one delayed the next. - `process.exit` waits for a blocked write of the log: with a reader that does not read, the process never ended. Seen with the options of deploy/system.toml; with others the code cache is rejected, and the line about it makes standard output non-blocking. - A stop that failed left the process running. One did fail: between two attempts to start, it closed the gossip socket a second time. The error ended the process only when the last attempt failed (code 1), and an attempt that succeeded began to serve.

Change: the steps have fixed times from the earliest time at which the signal can have been sent. The margin is 0.6 s and 8 ms for each open request, a quarter of the grace time at most and 0.4 s at least; half of it is for last answers, a quarter for the log. Without the log, the process ends by the default action of SIGTERM. No attempt to start follows the signal. The line "stopping" has delayMs; "stopped" has the open requests by phase, the connections and leftMs; the metrics are buckthornbeam_stop_seconds and buckthornbeam_interrupted_requests_total.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,6 +53,7 @@
 import {createSpeedTracker} from './state/speed_tracker.js';
 import {createStatementTracker} from './state/statement_tracker.js';
 import {createStoreWatcher} from './state/store_watcher.js';
+import {createPlannedStop} from './stop/planned_stop.js';
 
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -72,9 +73,9 @@
   start(): Promise<void>;
   /**
    * Drains open requests within `settings.stop.graceMs`, then closes everything. Further
-   * calls return the promise of the first.
+   * calls return the promise of the first. Resolves to whether all log lines are written.
    */
-  stop(): Promise<void>;
+  stop(): Promise<boolean>;
   /** Applies the settings that can change at run time; currently the seed addresses. */
   reload(settings: GatewaySettings): void;
 }
@@ -85,17 +86,6 @@
 const ADDRESS_TTL_S = 2;
 /** Callers use at most this many addresses. */
 const MAXIMUM_ADDRESSES = 64;
-/** Requests are accepted after a stop begins until callers' cached addresses expire. */
-const STOP_ACCEPTING_DELAY_MS = 3000;
-/** Idle connections are closed once callers may have resolved other addresses. */
-const CLOSE_IDLE_DELAY_MS = 1500;
-/** Part of the grace period reserved for writing the last bytes before the kill. */
-const SHUTDOWN_MARGIN_MS = 400;
-/** Part of this margin in which the last answers are written. */
-const LAST_ANSWERS_MS = 250;
-/** Part of the grace period in which new requests are accepted at most. */
-const ACCEPTING_RATIO = 0.5;
-const DRAIN_POLL_INTERVAL_MS = 50;
 /** Some turns of the event loop, in which the ends of connections are read. */
 const DISCONNECT_READ_MS = 5;
 
@@ -130,7 +120,8 @@
   const locations = createPrefixLocations();
   const shortages = createRoomShortages();
   let isStopping = false;
-  let stopped: Promise<void> | undefined;
+  let isClosed = false;
+  let stopped: Promise<boolean> | undefined;
   let maintenanceTimer: NodeJS.Timeout | undefined;
 
   const pauses = createPauseDetector({
@@ -306,6 +297,7 @@
     getLongestPauseMs: () => pauses.getLongestPauseMs(),
     getHeldBytes: () => memory.heldBytes,
     countCallerConnections: () => callerServer.countConnections(),
+    computeStopMs: () => plannedStop.computeDuration(),
   });
 
   const {memory, reports} = createMachineMemory({
@@ -468,13 +460,11 @@
     quarantine.expire(clock.now());
   }
 
-  async function waitForRequests(deadline: number): Promise<void> {
-    while (callerServer.countOpen() > 0 && clock.now() < deadline) {
-      await waitFor(DRAIN_POLL_INTERVAL_MS);
-    }
-  }
-
   function closeAll(): void {
+    if (isClosed) {
+      return;
+    }
+    isClosed = true;
     callerServer.stop();
     watcher.stop();
     clearInterval(maintenanceTimer);
@@ -501,41 +491,25 @@
     logger.info('started', {callers: settings.listen.callers});
   }
 
-  async function runStop(): Promise<void> {
-    const startedAt = clock.now();
-    const drainDeadline =
-      startedAt + settings.stop.graceMs - SHUTDOWN_MARGIN_MS;
-    const acceptingMs = Math.min(
-      STOP_ACCEPTING_DELAY_MS,
-      settings.stop.graceMs * ACCEPTING_RATIO,
-    );
-    const closeIdleMs = Math.min(CLOSE_IDLE_DELAY_MS, acceptingMs);
-    isStopping = true;
-    callerServer.beginDrain(drainDeadline);
-    gossip.announce();
-    logger.info('stopping', {open: callerServer.countOpen()});
-    await waitFor(closeIdleMs);
-    callerServer.closeIdleConnections();
-    await waitFor(acceptingMs - closeIdleMs);
-    callerServer.refuseNewRequests();
-    callerServer.closeIdleConnections();
-    await waitForRequests(drainDeadline);
-    const interrupted = callerServer.countOpen();
-    callerServer.endOpenRequests();
-    await waitForRequests(clock.now() + LAST_ANSWERS_MS);
-    closeAll();
-    logger.info('stopped', {
-      interrupted,
-      open: callerServer.countOpen(),
-      tookMs: Math.round(clock.now() - startedAt),
-    });
-    await logWriter.flush();
-  }
+  const plannedStop = createPlannedStop({
+    graceMs: settings.stop.graceMs,
+    callerServer,
+    pauses,
+    announce: () => {
+      isStopping = true;
+      gossip.announce();
+    },
+    closeAll,
+    logWriter,
+    clock,
+    logger,
+  });
 
   return {
     start,
     stop: () => {
-      stopped ??= runStop();
+      // A start that failed has closed everything.
+      stopped ??= isClosed ? Promise.resolve(true) : plannedStop.run();
       return stopped;
     },
     reload: changed => {
--- a/packages/gateway/src/http/caller_server.ts
+++ b/packages/gateway/src/http/caller_server.ts
@@ -31,9 +31,10 @@
 import {
   describeInterrupted,
   describeRequest,
+  getPhase,
   observeRequest,
 } from './request_log.js';
-import type {RequestLog} from './request_log.js';
+import type {PhaseCounts, RequestLog} from './request_log.js';
 import {createStopAdmission} from './stop_admission.js';
 
 export interface CallerServerOptions {
@@ -75,8 +76,11 @@
   beginDrain(requestsEndAt: number): void;
   /** Answers new requests with the error `leaving`. */
   refuseNewRequests(): void;
-  /** Gives all open requests their last answer; streams that have begun are cut. */
-  endOpenRequests(): void;
+  /**
+   * Gives all open requests their last answer; streams that have begun are cut. Returns
+   * the number of these requests by phase.
+   */
+  endOpenRequests(): PhaseCounts;
   closeIdleConnections(): void;
   stop(): void;
 }
@@ -283,8 +287,14 @@
     });
   }
 
-  function logInterrupted(): void {
+  function logInterrupted(): PhaseCounts {
     const now = clock.now();
+    const counts: PhaseCounts = {};
+    for (const {log} of openRequests) {
+      const phase = getPhase(log);
+      counts[phase] = (counts[phase] ?? 0) + 1;
+      metrics.countInterrupted(phase);
+    }
     for (const {log, answer, response} of [...openRequests].slice(
       0,
       MAXIMUM_INTERRUPTED_LINES,
@@ -298,6 +308,7 @@
         ),
       );
     }
+    return counts;
   }
 
   async function serveRequest(
@@ -387,8 +398,9 @@
       isRefusing = true;
     },
     endOpenRequests: () => {
-      logInterrupted();
+      const counts = logInterrupted();
       stopping.abort();
+      return counts;
     },
     closeIdleConnections: () => connections.closeIdle(),
     stop: () => {
--- a/packages/gateway/src/http/request_log.ts
+++ b/packages/gateway/src/http/request_log.ts
@@ -41,7 +41,16 @@
 } as const;
 export type RequestPhase = (typeof RequestPhase)[keyof typeof RequestPhase];
 
-function getPhase({bodyBytes, route, report, error}: RequestLog): RequestPhase {
+/** Numbers of requests; phases without any are missing. */
+export type PhaseCounts = Partial<Record<RequestPhase, number>>;
+
+/** Tells how far an open request has come. */
+export function getPhase({
+  bodyBytes,
+  route,
+  report,
+  error,
+}: RequestLog): RequestPhase {
   if (report || error) {
     return RequestPhase.FLUSH;
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -56,3 +56,5 @@
 export type {SettingsFile, SettingsFileOptions} from './settings_file.js';
 export {startGateway} from './start_gateway.js';
 export type {StartGatewayOptions} from './start_gateway.js';
+export {handleStopSignal} from './stop/stop_signal.js';
+export type {StopSignal, StopSignalOptions} from './stop/stop_signal.js';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -26,6 +26,8 @@
   countStatement(change: StatementChange): void;
   /** Counts what was refused or closed for a limit of the machine. */
   countLimit(reason: string): void;
+  /** Counts a request that a stop ended, by its phase. */
+  countInterrupted(phase: string): void;
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string>;
 }
@@ -48,6 +50,8 @@
   /** Memory of bodies and responses; 0 by default. */
   getHeldBytes?: () => number;
   countCallerConnections?: () => number;
+  /** Time since the stop signal; 0 by default. */
+  computeStopMs?: () => number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -129,6 +133,12 @@
     labelNames: ['reason'],
     registers,
   });
+  const interrupted = new Counter({
+    name: 'buckthornbeam_interrupted_requests_total',
+    help: 'Requests that a stop ended, by how far they were.',
+    labelNames: ['phase'],
+    registers,
+  });
   const storeReads = new Counter({
     name: 'buckthornbeam_store_reads_total',
     help: 'Reads of the store, by result.',
@@ -167,6 +177,11 @@
       'Open connections of callers.',
       () => sources.countCallerConnections?.() ?? 0,
     ],
+    [
+      'buckthornbeam_stop_seconds',
+      'Time since the stop signal; 0 before it.',
+      () => (sources.computeStopMs?.() ?? 0) / MS_PER_SECOND,
+    ],
     ['buckthornbeam_peers', 'Instances heard of lately.', sources.countPeers],
     [
       'buckthornbeam_quarantined_prompts',
@@ -233,6 +248,7 @@
     countStatement: ({kind, type}) =>
       statements.inc({statement: kind, change: type}),
     countLimit: reason => limits.inc({reason}),
+    countInterrupted: phase => interrupted.inc({phase}),
     render: () => registry.metrics(),
   };
 }
--- a/packages/gateway/src/peers/gossip_task.ts
+++ b/packages/gateway/src/peers/gossip_task.ts
@@ -218,7 +218,12 @@
           resolve();
         });
       }),
-    announce: () => sendDatagrams(node.announce(clock.now())),
+    announce: () => {
+      // Sending would bind a socket that is not open yet to another port.
+      if (timer) {
+        sendDatagrams(node.announce(clock.now()));
+      }
+    },
     reportChange,
     getLastHeardAt: () => lastHeardAt,
     stop: () => {
--- a/packages/gateway/src/start_gateway.ts
+++ b/packages/gateway/src/start_gateway.ts
@@ -7,6 +7,8 @@
 export interface StartGatewayOptions {
   /** Creates a gateway for each attempt, since one that failed cannot start again. */
   create: () => Gateway;
+  /** Whether the process ends, so that nothing is to be started any more. */
+  isStopping?: () => boolean;
   logger: Logger;
 }
 
@@ -19,6 +21,7 @@
  */
 export async function startGateway({
   create,
+  isStopping = () => false,
   logger,
 }: StartGatewayOptions): Promise<Gateway> {
   for (let attempt = 1; ; attempt++) {
@@ -28,7 +31,7 @@
       return gateway;
     } catch (error) {
       const {code, message} = error as NodeJS.ErrnoException;
-      if (code !== 'EADDRINUSE' || attempt === START_ATTEMPTS) {
+      if (code !== 'EADDRINUSE' || attempt === START_ATTEMPTS || isStopping()) {
         throw error;
       }
       logger.warn('start_retried', {reason: message});
