feat(experiment): servers that ask for pauses and state limits

Cause: the experiment had no servers that ask for less load, and the loss under a stated limit was known only as a whole. Change: cases pausing and limited. The test of pauses fails if pauses are ignored (trial).

--- a/packages/experiment/__tests__/experiment.spec.ts
+++ b/packages/experiment/__tests__/experiment.spec.ts
@@ -4,6 +4,7 @@
   cases,
   createEventQueue,
   createSimulatedEngine,
+  measureLimitCost,
   runExperiment,
 } from '../src/index.js';
 import type {ExperimentCase} from '../src/index.js';
@@ -144,7 +145,7 @@
       ],
     });
     const result = runExperiment(smallCase, 1);
-    assert.is(result.sentToLeaving, 0);
+    assert.is(result.sentAgainst.leaving, 0);
     const steady = runExperiment({...smallCase, leavings: []}, 1);
     const lostRatio = smallCase.leavings.reduce(
       (sum, {servesOnMs, downMs, serverRatio}) =>
@@ -157,6 +158,46 @@
     );
   });
 
+  // Guards against requests in a pause, and against servers that stay unused after it.
+  it('sends nothing to servers that asked for a pause, and uses them after it', () => {
+    const smallCase = buildSmallCase({
+      ...cases['pausing']!,
+      needs: [
+        {atMs: 1000, durationMs: 1000, serverRatio: 0.3, pauseMs: 1500},
+        {atMs: 6000, durationMs: 500, serverRatio: 0.5, pauseMs: 800},
+      ],
+    });
+    const result = runExperiment(smallCase, 1);
+    assert.is(result.sentAgainst.pauses, 0);
+    const steady = runExperiment({...smallCase, needs: []}, 1);
+    assert.is.not(result.credit, steady.credit, 'no server paused');
+    const lostRatio = smallCase.needs.reduce(
+      (sum, {durationMs, pauseMs = 0, serverRatio}) =>
+        sum + ((durationMs + pauseMs) * serverRatio) / smallCase.durationMs,
+      0,
+    );
+    assert.ok(
+      result.credit > steady.credit * (1 - lostRatio),
+      `credit ${result.credit}, ${steady.credit} without pauses`,
+    );
+  });
+
+  // Guards against a loss to the limit itself that counts as one to its division.
+  it('loses next to nothing to the division of a limit at one instance', () => {
+    const seeds = [1, 2, 3];
+    const [one, eight] = [1, 8].map(instances => {
+      const costs = seeds.map(seed =>
+        measureLimitCost({...cases['limited']!, instances}, seed),
+      );
+      const sum = (part: keyof (typeof costs)[0]) =>
+        costs.reduce((total, cost) => total + cost[part], 0) / seeds.length;
+      return {limit: sum('limit'), division: sum('division')};
+    });
+    const text = JSON.stringify({one, eight});
+    assert.ok(one!.limit > 0.2 && eight!.limit > 0.2, text);
+    assert.ok(Math.abs(one!.division) < eight!.division, text);
+  });
+
   it('records exactly one result for every request', () => {
     const smallCase = buildSmallCase(cases['crash-between-bursts']!);
     const result = runExperiment({...smallCase, durationMs: 10_000}, 2);
--- a/packages/experiment/src/caller_model.ts
+++ b/packages/experiment/src/caller_model.ts
@@ -177,7 +177,7 @@
         }
         checkLatency();
         if (lastEventAt === undefined) {
-          fleet.recordAnswer(instance, server, sentAt);
+          fleet.recordAnswer(instance, server, {sentAt, isRefusal: false});
           selected.markPrefilled(eventQueue.now);
         }
         lastEventAt = eventQueue.now;
@@ -197,7 +197,7 @@
     if (!engine.submit(job)) {
       ticket.end();
       if (engine.isUp) {
-        fleet.recordAnswer(instance, server, sentAt);
+        fleet.recordAnswer(instance, server, {sentAt, isRefusal: true});
       }
       const outcome = engine.isUp ? 'failed' : 'unreachable';
       instance.selection.recordOutcome(server.id, outcome, eventQueue.now);
--- a/packages/experiment/src/cases.ts
+++ b/packages/experiment/src/cases.ts
@@ -1,6 +1,7 @@
 /** Experiment cases: a fleet and its load, named after the load pattern. */
 import {Spreading} from '@buckthornbeam/gateway';
 import type {EngineProfile} from './engine.js';
+import {LimitDivision} from './limit_division.js';
 import type {RequestKind} from './load_generator.js';
 import type {ExperimentCase} from './run_experiment.js';
 
@@ -81,12 +82,29 @@
   bursts: [],
   crashes: [],
   leavings: [],
+  needs: [],
   durationMs: 24_000,
   dataCentres: 6,
   shortPromptRatio: 0.2,
   spreading: Spreading.OFF,
+  limitDivision: LimitDivision.SHARES,
 };
 
+const SMALL_SERVERS = 6;
+
+/** Scales the load of the fleet, with its shared blocks, to fewer servers. */
+function buildScaledKind(kind: RequestKind, servers: number): RequestKind {
+  const ratio = servers / fleet.servers;
+  return {
+    ...kind,
+    requestsPerSecond: kind.requestsPerSecond * ratio,
+    shared: kind.shared.map(({count, size}) => ({
+      count: Math.ceil(count * ratio),
+      size,
+    })),
+  };
+}
+
 export const cases: Readonly<Record<string, ExperimentCase>> = {
   /** The load that the fleet is sized for. */
   steady: fleet,
@@ -124,4 +142,20 @@
       {atMs: 14_000, servesOnMs: 4000, downMs: 1000, serverRatio: 0.1},
     ],
   },
+  /** A tenth of the servers refuses requests at times and asks for pauses. */
+  pausing: {
+    ...fleet,
+    needs: [
+      {atMs: 6000, durationMs: 3000, serverRatio: 0.1, pauseMs: 1500},
+      {atMs: 14_000, durationMs: 500, serverRatio: 0.1, pauseMs: 2500},
+    ],
+  },
+  /** Seven of ten servers of a small fleet state half of their usual rate. */
+  limited: {
+    ...fleet,
+    instances: 8,
+    servers: SMALL_SERVERS,
+    kinds: fleet.kinds.map(kind => buildScaledKind(kind, SMALL_SERVERS)),
+    needs: [{atMs: 3000, durationMs: 19_000, serverRatio: 0.7, rateRatio: 0.5}],
+  },
 };
--- a/packages/experiment/src/engine.ts
+++ b/packages/experiment/src/engine.ts
@@ -1,5 +1,8 @@
 /** Simulated model servers: their profile, interface and jobs. */
 
+import type {ServerStatement} from '@buckthornbeam/decisions';
+import type {ServerNeedState} from './server_need.js';
+
 /** Speed and capacity of a model server. */
 export interface EngineProfile {
   /** Maximum batch size, in requests. */
@@ -65,11 +68,11 @@
 export interface SimulatedEngine {
   readonly totals: Readonly<EngineTotals>;
   readonly isUp: boolean;
-  /** Whether the server states in its answers that it leaves. */
-  readonly isLeaving: boolean;
+  /** Builds what an answer states about the server. */
+  buildStatement(isRefusal: boolean): ServerStatement;
   /** Whether the KV cache contains the shared block with this key. */
   isCached(key: string): boolean;
-  /** Returns false if the server is down or its queue is full. */
+  /** Returns false if the server is down, in need, or its queue is full. */
   submit(job: EngineJob): boolean;
   /** Drops a waiting or running job whose caller disconnected. */
   cancel(job: EngineJob): void;
@@ -77,5 +80,7 @@
   crash(): void;
   /** Begins to leave: the server goes on until it is taken down. */
   leave(): void;
+  /** Asks for less load from now on; undefined ends that. */
+  setNeed(need: ServerNeedState | undefined): void;
   start(): void;
 }
--- a/packages/experiment/src/engine_model.ts
+++ b/packages/experiment/src/engine_model.ts
@@ -4,6 +4,7 @@
  * newest of the least urgent requests.
  */
 import type {EventQueue} from './event_queue.js';
+import type {ServerNeedState} from './server_need.js';
 import type {
   EngineJob,
   SimulatedEngine,
@@ -60,6 +61,7 @@
   let isStepping = false;
   let isUp = true;
   let isLeaving = false;
+  let need: ServerNeedState | undefined;
   /** End of the last scheduled copy; copies run one after another. */
   let linkFreeAt = 0;
   /** Steps and copies scheduled before a crash compare it to detect the crash. */
@@ -328,12 +330,14 @@
     get isUp() {
       return isUp;
     },
-    get isLeaving() {
-      return isLeaving;
-    },
+    buildStatement: isRefusal => ({
+      isLeaving,
+      ...need?.buildStatement(isRefusal),
+    }),
     isCached: key => cachedBlocks.has(key),
     submit: job => {
-      if (!isUp || waiting.length >= profile.maximumWaitingRequests) {
+      const isFull = waiting.length >= profile.maximumWaitingRequests;
+      if (!isUp || isFull || !(need?.accept(eventQueue.now) ?? true)) {
         return false;
       }
       lastArrivalOrder += 1;
@@ -383,8 +387,12 @@
     leave: () => {
       isLeaving = true;
     },
+    setNeed: newNeed => {
+      need = newNeed;
+    },
     start: () => {
       isUp = true;
+      need = undefined;
       isLeaving = false;
     },
   };
--- a/packages/experiment/src/fleet_model.ts
+++ b/packages/experiment/src/fleet_model.ts
@@ -39,6 +39,10 @@
 import type {EventQueue} from './event_queue.js';
 import {createSimulatedEngine} from './engine_model.js';
 import type {SimulatedEngine, EngineProfile} from './engine.js';
+import {createLimitExchange, createTrackers} from './limit_division.js';
+import type {LimitDivision} from './limit_division.js';
+import {createStatedNeeds} from './stated_needs.js';
+import type {SentAgainst} from './stated_needs.js';
 import type {LoadRequest, RequestKind} from './load_generator.js';
 
 /** Options of {@link createSimulatedFleet}. */
@@ -62,6 +66,7 @@
   shortPromptRatio: number;
   /** How servers are chosen by load reports. */
   spreading: Spreading;
+  limitDivision: LimitDivision;
 }
 
 export interface SimulatedInstance {
@@ -86,15 +91,12 @@
   recordAnswer(
     instance: SimulatedInstance,
     server: BackendServer,
-    sentAt: number,
+    answer: {sentAt: number; isRefusal: boolean},
   ): void;
   /** Starts a server that is down, as a new life under the same id. */
   restartServer(serverId: string): void;
-  /**
-   * Counts the requests that an instance sent to a server after an answer to that
-   * instance stated that the server leaves.
-   */
-  countSentToLeaving(): number;
+  /** Counts the requests that instances sent against what servers stated to them. */
+  countSentAgainst(): SentAgainst;
   /** Describes the loads by which servers were chosen. */
   describeStaleness(): Staleness;
 }
@@ -223,11 +225,14 @@
     isReportScheduled: boolean;
   }
 
+  const createTracker = createTrackers(options.limitDivision);
+
   function createInstance(id: string, index: number): GossipingInstance {
     const dataCentre = `centre-${index % options.dataCentres}`;
     const loads = createServerLoads({onChange: () => scheduleReport(instance)});
     const locations = createPrefixLocations();
     const nextFloat = () => random.nextFloat();
+    const statements = createTracker();
     const selection = createServerSelection({
       selfId: id,
       dataCentre,
@@ -242,6 +247,7 @@
       listInstances: () => instanceIds,
       coldOverage: 1,
       coldSlack: 0,
+      statements,
       random: nextFloat,
     });
     const node = createGossipNode({
@@ -259,6 +265,7 @@
         selfId: id,
         listInstances: () => instanceIds,
       }),
+      limits: createLimitExchange(statements, selection, servers),
       random: nextFloat,
     });
     const instance = {
@@ -333,6 +340,7 @@
   }
 
   function runRound(instance: GossipingInstance): void {
+    instance.selection.prune(eventQueue.now);
     sendDatagrams(instance.node.runRound(eventQueue.now));
     eventQueue.runAt(eventQueue.now + GOSSIP_ROUND_MS, () =>
       runRound(instance),
@@ -344,31 +352,19 @@
     eventQueue.runAt(firstAt, () => runRound(instance));
   }
 
-  /** Keys of the instances and servers of which an answer stated the leaving. */
-  const statedLeaving = new Set<string>();
-  let sentToLeaving = 0;
-
-  function buildStatedKey(
-    instance: SimulatedInstance,
-    server: BackendServer,
-  ): string {
-    return `${instance.id} ${server.id} ${server.startedAt}`;
-  }
+  const statedNeeds = createStatedNeeds();
 
   return {
     instances,
     engines,
     rank: rankRequest,
-    countSentToLeaving: () => sentToLeaving,
+    countSentAgainst: () => statedNeeds.count(),
     describeStaleness: () => staleness.describe(),
-    recordAnswer: (instance, server, sentAt) => {
-      const {isLeaving} = engines.get(server.id)!;
-      const requestId = instance.id;
-      const answer = {requestId, sentAt, headAt: eventQueue.now};
-      instance.selection.recordStatement(server, {isLeaving}, answer);
-      if (isLeaving) {
-        statedLeaving.add(buildStatedKey(instance, server));
-      }
+    recordAnswer: ({id, selection}, server, {sentAt, isRefusal}) => {
+      const statement = engines.get(server.id)!.buildStatement(isRefusal);
+      const answer = {requestId: id, sentAt, headAt: eventQueue.now};
+      selection.recordStatement(server, statement, answer);
+      statedNeeds.record(id, server, statement, eventQueue.now);
     },
     restartServer: serverId => {
       const tracked = servers.find(({server}) => server.id === serverId)!;
@@ -390,11 +386,8 @@
         },
         eventQueue.now,
       );
-      if (
-        selected &&
-        statedLeaving.has(buildStatedKey(instance, selected.server))
-      ) {
-        sentToLeaving += 1;
+      if (selected) {
+        statedNeeds.recordSent(instance.id, selected.server, eventQueue.now);
       }
       return selected;
     },
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -11,5 +11,6 @@
 } from './engine.js';
 export type {Burst, Crash, RequestKind} from './load_generator.js';
 export type {KindResult} from './result_tracker.js';
+export {measureLimitCost} from './limit_cost.js';
 export {runExperiment} from './run_experiment.js';
 export type {ExperimentCase, ExperimentResult} from './run_experiment.js';
--- a/packages/experiment/src/load_generator.ts
+++ b/packages/experiment/src/load_generator.ts
@@ -67,6 +67,18 @@
   serverRatio: number;
 }
 
+/** Servers that ask for less load for a period. */
+export interface Need {
+  atMs: number;
+  durationMs: number;
+  /** Ratio of these servers to all servers. */
+  serverRatio: number;
+  /** They refuse all requests, and ask for pauses of this time. */
+  pauseMs?: number;
+  /** They state this part of the rate that a server usually gets. */
+  rateRatio?: number;
+}
+
 export interface LoadRequest {
   id: string;
   kind: RequestKind;
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -3,12 +3,14 @@
 import {RouterError} from '@buckthornbeam/shared';
 import {Spreading} from '@buckthornbeam/gateway';
 import {cases} from './cases.js';
+import {measureLimitCost} from './limit_cost.js';
 import {runExperiment} from './run_experiment.js';
 import type {ExperimentResult} from './run_experiment.js';
 
 const USAGE = `npm run experiment -- [--case ${Object.keys(cases).join('|')}]
   [--seeds N] [--servers N] [--instances N] [--data-centres N]
   [--short-part RATIO] [--spreading off|even] [--json]
+  [--limit-cost]
 `;
 
 function formatResult(result: ExperimentResult): string {
@@ -32,7 +34,8 @@
     `credit ${result.credit.toFixed(4)}, prefilled ${(result.readTokens / 1e6).toFixed(2)} M tokens, ` +
       `${(result.readAgainTokens / 1e6).toFixed(2)} M of them repeatedly, ` +
       `${(result.copiedTokens / 1e6).toFixed(2)} M copied, ` +
-      `${result.preemptions} preempted, ${result.sentToLeaving} sent to leaving servers`,
+      `${result.preemptions} preempted, ${result.sentAgainst.leaving} sent to leaving servers, ` +
+      `${result.sentAgainst.pauses} in pauses`,
     `load reports: age p50 ${ageMs.p50.toFixed(0)} ms, p95 ${ageMs.p95.toFixed(0)} ms; ` +
       `error p50 ${error.p50.toFixed(2)}, p95 ${error.p95.toFixed(2)} requests a server`,
   ].join('\n');
@@ -71,6 +74,7 @@
       'short-part': {type: 'string'},
       spreading: {type: 'string'},
       json: {type: 'boolean', default: false},
+      'limit-cost': {type: 'boolean', default: false},
     },
   });
   const baseCase = cases[values.case];
@@ -90,6 +94,17 @@
   };
   const seeds = parseNumber(values.seeds, 1);
   for (let seed = 1; seed <= seeds; seed++) {
+    if (values['limit-cost']) {
+      const {usual, limit, division} = measureLimitCost(experiment, seed);
+      const [lost, toLimit, toDivision] = [usual, limit, division].map(share =>
+        share.toFixed(4),
+      );
+      process.stdout.write(
+        `${values.case}, seed ${seed}: lost without limits ${lost}, ` +
+          `to the limits ${toLimit}, to their division ${toDivision}\n`,
+      );
+      continue;
+    }
     const result = runExperiment(experiment, seed);
     process.stdout.write(
       values.json
--- a/packages/experiment/src/run_experiment.ts
+++ b/packages/experiment/src/run_experiment.ts
@@ -9,9 +9,18 @@
 import type {SimulatedEngine, EngineProfile, EngineTotals} from './engine.js';
 import {createSimulatedFleet} from './fleet_model.js';
 import type {SimulatedFleet} from './fleet_model.js';
+import type {LimitDivision} from './limit_division.js';
+import {createServerNeed} from './server_need.js';
+import type {SentAgainst} from './stated_needs.js';
 import type {Staleness} from './staleness.js';
 import {createLoad} from './load_generator.js';
-import type {Burst, Crash, Leaving, RequestKind} from './load_generator.js';
+import type {
+  Burst,
+  Crash,
+  Leaving,
+  Need,
+  RequestKind,
+} from './load_generator.js';
 import {createSimulatedCallers} from './caller_model.js';
 
 /** A fleet and its load; the fields are options of their simulation. */
@@ -26,10 +35,12 @@
   bursts: readonly Burst[];
   crashes: readonly Crash[];
   leavings: readonly Leaving[];
+  needs: readonly Need[];
   durationMs: number;
   dataCentres: number;
   shortPromptRatio: number;
   spreading: Spreading;
+  limitDivision: LimitDivision;
 }
 
 export interface ExperimentResult {
@@ -46,8 +57,8 @@
   readAgainTokens: number;
   copiedTokens: number;
   preemptions: number;
-  /** Requests sent to servers after they had stated that they leave. */
-  sentToLeaving: number;
+  /** Requests sent against what servers had stated. */
+  sentAgainst: SentAgainst;
   staleness: Staleness;
 }
 
@@ -89,6 +100,26 @@
   }
 }
 
+/** Schedules the begin and end of what the first servers ask for. */
+function scheduleNeed(
+  {atMs, durationMs, serverRatio, pauseMs, rateRatio}: Need,
+  engines: readonly SimulatedEngine[],
+  usualRate: number,
+  eventQueue: EventQueue,
+): void {
+  const need = {
+    ...(pauseMs === undefined ? {} : {pauseMs}),
+    ...(rateRatio === undefined
+      ? {}
+      : {requestsPerSecond: rateRatio * usualRate}),
+  };
+  const count = Math.round(engines.length * serverRatio);
+  for (const engine of engines.slice(0, count)) {
+    eventQueue.runAt(atMs, () => engine.setNeed(createServerNeed(need)));
+    eventQueue.runAt(atMs + durationMs, () => engine.setNeed(undefined));
+  }
+}
+
 /** Runs a case; the result depends only on the case and the seed. */
 export function runExperiment(
   experiment: ExperimentCase,
@@ -116,6 +147,11 @@
   for (const leaving of experiment.leavings) {
     scheduleLeaving(leaving, fleet, eventQueue);
   }
+  const usualRate =
+    sumBy(experiment.kinds, kind => kind.requestsPerSecond) / engines.length;
+  for (const need of experiment.needs) {
+    scheduleNeed(need, engines, usualRate, eventQueue);
+  }
   const longestDeadlineMs = Math.max(
     ...experiment.kinds.map(kind => kind.deadlineMs),
   );
@@ -133,7 +169,7 @@
       prefilledTokens - resultTracker.countRequiredPrefillTokens(),
     copiedTokens: sumTotals('copiedTokens'),
     preemptions: sumTotals('preemptions'),
-    sentToLeaving: fleet.countSentToLeaving(),
+    sentAgainst: fleet.countSentAgainst(),
     staleness: fleet.describeStaleness(),
   };
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -46,6 +46,8 @@
 } from './state/server_selection.js';
 export {parseGatewaySettings} from './settings.js';
 export type {GatewaySettings} from './settings.js';
+export {createStatementTracker} from './state/statement_tracker.js';
+export type {StatementTracker} from './state/statement_tracker.js';
 export {
   assertStoreEpoch,
   buildStorePosition,
