feat(stand_ins): the demo has a server that asks for a pause

Cause: the demo starts the router of models only, before which no server asks for a pause. Change: a step of the demo puts a gateway with a store and dialects of its own before two servers, one of which answers 503 with Retry-After once under load.

--- a/packages/stand_ins/src/demo/main.ts
+++ b/packages/stand_ins/src/demo/main.ts
@@ -5,6 +5,7 @@
 import {startCluster} from '../cluster/cluster.js';
 import type {Cluster} from '../cluster/cluster.js';
 import {buildAnswerText} from '../engine/answer_text.js';
+import {runPausingServer} from './pausing_server.js';
 
 interface DemoStep {
   name: string;
@@ -100,6 +101,16 @@
       return 'sent 3 times, executed once';
     },
   },
+  {
+    name: 'server that asks for a pause',
+    run: async () => {
+      const {before, inPause, after, failed} = await runPausingServer();
+      assertEqual(failed, 0, 'requests without an answer');
+      assertEqual(inPause <= 2, true, `${inPause} requests in the pause`);
+      assertEqual(after > 2, true, `${after} requests after the pause`);
+      return `${before} requests before, ${inPause} in the pause, ${after} after it`;
+    },
+  },
 ];
 
 async function runStep(step: DemoStep, cluster: Cluster): Promise<boolean> {
