fix(gateway): a stream given up at a silent server is not cut by a refusal

Cause: an instance gives up a running stream for another server once its server is silent for a second. If the other one refuses, the way back needs a second repeat at once, and a server within a quarter of the target latency. With the last repeat taken, or while another answer keeps the first server silent and no third one is left, the stream was cut after silent_server,refused_by_server, although its server went on. Change: such a stream waits for a repeat and for a server until three quarters of its time. Other requests wait as before. The repeat stays charged to the budget.

--- a/packages/gateway/__tests__/support/relay_fixture.ts
+++ b/packages/gateway/__tests__/support/relay_fixture.ts
@@ -1,4 +1,5 @@
 /** Relays requests to scripted servers, over one pool of connections. */
+import type {Agent} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {
@@ -17,6 +18,7 @@
 import type {CustomerAdmission} from '../../src/state/customer_admission.js';
 import {createRepeatBudgets} from '../../src/state/repeat_budgets.js';
 import {createServerActivity} from '../../src/state/server_activity.js';
+import type {ServerActivity} from '../../src/state/server_activity.js';
 import {createServerLoads} from '../../src/state/server_loads.js';
 import {createServerSelection} from '../../src/state/server_selection.js';
 import {
@@ -29,6 +31,8 @@
 } from './fixtures.js';
 
 const HOST = '127.0.0.1';
+/** Part of its budget that an instance uses. */
+const USED_BUDGET_RATIO = 0.8;
 
 /** A request as a raw server received it. */
 export interface ReceivedRequest {
@@ -152,9 +156,16 @@
   customers?: CustomerAdmission;
   /** Whether requests wait for servers in the order of urgency. */
   isOrdered?: boolean;
+  /** Opens the connections to servers, in place of the pool. */
+  agent?: Agent;
+  deadlineMs?: number;
+  /** Repeats that the budget allows in its window; it never runs out by default. */
+  repeats?: number;
+  repeatWindowMs?: number;
 }
 
 export interface RelayFixture {
+  readonly activity: ServerActivity;
   send(requestId: string, body?: Buffer): Promise<ReceivedAnswer>;
   close(): void;
 }
@@ -163,7 +174,8 @@
   const route = createRoute({maximumServers: 3, ...options.route});
   const clock = createSystemClock();
   const activity = createServerActivity();
-  const connections = createServerConnections();
+  const pool = createServerConnections();
+  const connections = {...pool, agent: options.agent ?? pool.agent};
   const clusterState = createFilledClusterState(
     createConfiguration({routes: [route]}),
     Object.entries(options.addresses).map(([id, address], index) =>
@@ -205,7 +217,11 @@
     activity,
     customers: options.customers,
     budgets: createRepeatBudgets({
-      fleet: {ratio: 0, extra: 10_000, windowMs: 10_000},
+      fleet: {
+        ratio: 0,
+        extra: (options.repeats ?? 8000) / USED_BUDGET_RATIO,
+        windowMs: options.repeatWindowMs ?? 10_000,
+      },
       countInstances: () => 1,
     }),
     maximumAnswerBytes: 1_000_000,
@@ -261,7 +277,7 @@
           id: requestId,
           host: 'host',
           path: '/a/',
-          deadlineMs: 2000,
+          deadlineMs: options.deadlineMs ?? 2000,
           apiKey: undefined,
           lastEventId: undefined,
           generation: undefined,
@@ -282,5 +298,5 @@
     return {...received, report};
   }
 
-  return {send, close: () => connections.close()};
+  return {activity, send, close: () => connections.close()};
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -31,6 +31,7 @@
 import {isRepeatable} from './repeatable.js';
 import {addWait, createRelayReport} from './relay_report.js';
 import type {RelayReport} from './relay_report.js';
+import {waitForRepeat} from './repeat_wait.js';
 import {
   buildAttemptError,
   buildQuarantineError,
@@ -93,6 +94,8 @@
  */
 const SLOW_SERVER_RATIO = 0.4;
 const FIRST_SERVER_ERROR_STATUS = 500;
+/** Fraction of the time that a request had after which an answer is worth nothing. */
+const WORTHLESS_RATIO = 0.75;
 /** Reason of an attempt that ends because its prompt is quarantined. */
 const QUARANTINED_REASON = 'prompt_quarantined';
 
@@ -139,6 +142,17 @@
     return selection.computeLimitWait(route, metadata, new Set(), limits, now);
   }
 
+  /**
+   * Computes until when a stream waits for another attempt after this instance gave up a
+   * running one. Its caller gets the rest from no other instance, and the server that was
+   * given up as silent may go on. Undefined for other requests, which wait as usual.
+   */
+  function computeWaitEnd(): number | undefined {
+    return answer.hasBegun && slowServers.size > 0
+      ? receivedAt + timeLimitMs * WORTHLESS_RATIO
+      : undefined;
+  }
+
   function markFirstByte(): void {
     report.firstByteMs ??= clock.now() - receivedAt;
   }
@@ -230,6 +244,7 @@
       const {onLack} = context;
       const result = await waitForServer({
         ...options,
+        waitUntil: computeWaitEnd(),
         ...(onLack ? {onLack: now => onLack(route, now)} : {}),
       });
       limitWaitMs = result.limitWaitMs;
@@ -396,7 +411,10 @@
   }
 
   /** Whether the request may be sent to another server after this result. */
-  function canRepeat(result: AttemptResult, serviceName: string): boolean {
+  async function claimRepeat(
+    result: AttemptResult,
+    serviceName: string,
+  ): Promise<boolean> {
     if (
       !hasTimeToRepeat() ||
       disconnectSignal.aborted ||
@@ -416,7 +434,17 @@
       return false;
     }
     // A failed connection puts no load on a server, so it costs no budget.
-    return result.isUnreachable || budgets.take(serviceName, clock.now());
+    return (
+      result.isUnreachable ||
+      waitForRepeat({
+        budgets,
+        serviceName,
+        waitUntil: computeWaitEnd(),
+        clock,
+        disconnectSignal,
+        stopSignal,
+      })
+    );
   }
 
   /** Sends the answer of the last attempt; returns an error if it has none. */
@@ -512,7 +540,7 @@
       if (
         disconnectSignal.aborted ||
         !hasFailed(result) ||
-        !(successor || canRepeat(result, service.name))
+        !(successor || (await claimRepeat(result, service.name)))
       ) {
         return settleResult(result);
       }
--- a/packages/gateway/src/relay/server_wait.ts
+++ b/packages/gateway/src/relay/server_wait.ts
@@ -21,6 +21,8 @@
   select: (limits: SelectionLimits, now: number) => SelectedServer | undefined;
   /** Deadline of the request, in milliseconds. */
   deadlineAt: number;
+  /** Time until which the request waits, if that is longer than usual. */
+  waitUntil?: number | undefined;
   clock: Clock;
   /** Aborted when the caller disconnects. */
   disconnectSignal: AbortSignal;
@@ -57,7 +59,10 @@
   const {selection, route, metadata, excluded, clock, deadlineAt} = options;
   const {disconnectSignal, stopSignal, pause = waitFor} = options;
   const waitMs = Math.max(MINIMUM_WAIT_MS, route.targetLatencyMs * WAIT_RATIO);
-  const waitEndsAt = Math.min(deadlineAt, clock.now() + waitMs);
+  const waitEndsAt = Math.min(
+    deadlineAt,
+    Math.max(clock.now() + waitMs, options.waitUntil ?? -Infinity),
+  );
   let place: WaitingPlace | undefined;
   try {
     for (;;) {
