fix(gateway): a server is used again after the pause that it asked for

Cause: each refusal counted as a failure of its server, also one that asks for a pause. After the pause, the failure rate kept requests away for seconds where other servers had room, so that no trial was sent: in one of three runs of pausing_server.spec, at a load average of about 11, the server got 0 of 219 requests. Change: an answer with a pause of 0.5 s or more is no outcome of the server. Shorter pauses and refusals without one count as before, so that a server that refuses everything does not get a trial every few milliseconds.

--- a/packages/experiment/src/caller_model.ts
+++ b/packages/experiment/src/caller_model.ts
@@ -200,7 +200,10 @@
         fleet.recordAnswer(instance, server, {sentAt, isRefusal: true});
       }
       const outcome = engine.isUp ? 'failed' : 'unreachable';
-      instance.selection.recordOutcome(server.id, outcome, eventQueue.now);
+      // As in the relay, a server that asks for a pause has not failed.
+      if (engine.buildStatement(true).pauseMs === undefined) {
+        instance.selection.recordOutcome(server.id, outcome, eventQueue.now);
+      }
       attempt.excluded.add(server.id);
       findServer(attempt);
       return;
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -96,6 +96,11 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 /** Fraction of the time that a request had after which an answer is worth nothing. */
 const WORTHLESS_RATIO = 0.75;
+/**
+ * A pause from this time on keeps requests away by itself. After a shorter one, a server
+ * that refuses everything would get a trial every few milliseconds.
+ */
+const MINIMUM_KEPT_PAUSE_MS = 500;
 /** Reason of an attempt that ends because its prompt is quarantined. */
 const QUARANTINED_REASON = 'prompt_quarantined';
 
@@ -126,6 +131,8 @@
   let possibleRuns = 0;
   let lastEventId = metadata.lastEventId;
   let lastFailure: AttemptResult | undefined;
+  /** Whether the server of the last attempt asked for a pause that keeps requests away. */
+  let hasPaused = false;
   /** Chosen for the next attempt before a running one is given up. */
   let successor: SelectedServer | undefined;
   /** Time until limits and pauses allow the request, if only they keep it back, in ms. */
@@ -335,6 +342,7 @@
     report.isDiverted ||= selected.isDiverted;
     report.loadAgeMs = selected.loadAgeMs;
     const responseMemory = request.memory?.openResponse();
+    hasPaused = false;
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
@@ -357,12 +365,14 @@
       reserve: bytes => responseMemory?.resize(bytes) ?? true,
       onRead: bytes => request.memory?.countRead(bytes),
       onHead: () => tracker.recordHead(),
-      onStatement: statement =>
+      onStatement: statement => {
+        hasPaused = (statement.pauseMs ?? 0) >= MINIMUM_KEPT_PAUSE_MS;
         selection.recordStatement(server, statement, {
           requestId: metadata.id,
           sentAt,
           headAt: clock.now(),
-        }),
+        });
+      },
       onActivity: () => activity.recordActivity(server.id, clock.now()),
       ...(isStream ? {sink: createSink(selected, tracking, tracker)} : {}),
     });
@@ -398,7 +408,8 @@
   }
 
   function recordOutcome(result: AttemptResult, serverId: string): void {
-    if (result.reason === 'caller_left') {
+    // A server that refuses for a time and says so has no fault, and is used after it.
+    if (result.reason === 'caller_left' || hasPaused) {
       return;
     }
     const hasAnswered =
