test(decisions): histories of pauses forget servers that are long unlisted

In its history a server is unlisted for over ten minutes, after which its statements are forgotten by design; the model kept them. Change: the model forgets after the same time.

--- a/packages/decisions/__tests__/support/pause_history.ts
+++ b/packages/decisions/__tests__/support/pause_history.ts
@@ -68,6 +68,7 @@
   endsAt: number;
   triedAt: number;
   answeredAt: number | undefined;
+  unlistedSince?: number | undefined;
 }
 
 const SERVERS = 3;
@@ -75,6 +76,8 @@
 const MAXIMUM_ARRIVALS = 2;
 const MAXIMUM_DELAY_MS = 150;
 const LONGEST_MS = 600_000;
+/** Time for which the statements of an unlisted life are kept. */
+const RETENTION_MS = 600_000;
 const TRIAL_MS = 3000;
 const RETURN_MS = 500;
 /** Of these lists, one lacks the entry of a server. */
@@ -250,6 +253,17 @@
   function acceptList(list: readonly ServerLife[], lapsed?: number): void {
     listed = list.map((life, index) => (index === lapsed ? undefined : life));
     const present = list.filter((_, index) => index !== lapsed);
+    const presentKeys = new Set(present.map(buildKey));
+    for (const [key, known] of heard) {
+      const now = time - lostMs;
+      known.unlistedSince = presentKeys.has(key)
+        ? undefined
+        : (known.unlistedSince ?? now);
+      if (now - (known.unlistedSince ?? now) > RETENTION_MS) {
+        heard.delete(key);
+        clearPauses(({id}) => key.startsWith(`${id} `));
+      }
+    }
     statements.retain(present, time - lostMs);
     statements.advance(SHARERS, time - lostMs);
   }
