--- a/packages/gateway/src/relay/attempt_runner.ts
+++ b/packages/gateway/src/relay/attempt_runner.ts
@@ -27,6 +27,8 @@
 
 export interface AttemptRunner {
   run(selected: SelectedServer): Promise<AttemptResult>;
+  /** Whether the server of the last attempt asked for a pause that keeps requests away. */
+  hasPaused(): boolean;
 }
 
 /** A server ends a request at its deadline; this leaves time for its answer to arrive. */
@@ -36,6 +38,11 @@
  * given up if another server may run it.
  */
 const SLOW_SERVER_RATIO = 0.4;
+/**
+ * A pause from this time on keeps requests away by itself. After a shorter one, a server
+ * that refuses everything would get a trial every few milliseconds.
+ */
+const MINIMUM_KEPT_PAUSE_MS = 500;
 /** Reason of an attempt that ends because its prompt is quarantined. */
 export const QUARANTINED_REASON = 'prompt_quarantined';
 
@@ -53,6 +60,7 @@
   const {route, metadata, receivedAt, disconnectSignal} = request;
   const isStream = route.kind === RouteKind.STREAM;
   let lastEventId = metadata.lastEventId;
+  let hasPaused = false;
 
   function createSink(
     selected: SelectedServer,
@@ -98,6 +106,7 @@
     report.isDiverted ||= selected.isDiverted;
     report.loadAgeMs = selected.loadAgeMs;
     const responseMemory = request.memory?.openResponse();
+    hasPaused = false;
     const attempt = startAttempt({
       agent: context.connections.agent,
       address: server.address,
@@ -120,12 +129,14 @@
       reserve: bytes => responseMemory?.resize(bytes) ?? true,
       onRead: bytes => request.memory?.countRead(bytes),
       onHead: () => tracker.recordHead(),
-      onStatement: statement =>
+      onStatement: statement => {
+        hasPaused = (statement.pauseMs ?? 0) >= MINIMUM_KEPT_PAUSE_MS;
         selection.recordStatement(server, statement, {
           requestId: metadata.id,
           sentAt,
           headAt: clock.now(),
-        }),
+        });
+      },
       onActivity: () => activity.recordActivity(server.id, clock.now()),
       ...(isStream ? {sink: createSink(selected, tracking, tracker)} : {}),
     });
@@ -156,5 +167,5 @@
     return result;
   }
 
-  return {run: runAttempt};
+  return {run: runAttempt, hasPaused: () => hasPaused};
 }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -19,6 +19,7 @@
 import type {AcceptedRequest, RelayContext} from './relay_context.js';
 import {addWait, createRelayReport} from './relay_report.js';
 import type {RelayReport} from './relay_report.js';
+import {waitForRepeat} from './repeat_wait.js';
 import {
   buildAttemptError,
   buildQuarantineError,
@@ -34,6 +35,8 @@
 /** A request is repeated only with more time than this until its deadline. */
 const MINIMUM_ATTEMPT_MS = 15;
 const FIRST_SERVER_ERROR_STATUS = 500;
+/** Fraction of the time that a request had after which an answer is worth nothing. */
+const WORTHLESS_RATIO = 0.75;
 
 /** Relays a request until its caller has an answer or has disconnected. */
 export async function relayRequest(
@@ -76,6 +79,17 @@
     return selection.computeLimitWait(route, metadata, new Set(), limits, now);
   }
 
+  /**
+   * Computes until when a stream waits for another attempt after this instance gave up a
+   * running one. Its caller gets the rest from no other instance, and the server that was
+   * given up as silent may go on. Undefined for other requests, which wait as usual.
+   */
+  function computeWaitEnd(): number | undefined {
+    return answer.hasBegun && slowServers.size > 0
+      ? receivedAt + timeLimitMs * WORTHLESS_RATIO
+      : undefined;
+  }
+
   function markFirstByte(): void {
     report.firstByteMs ??= clock.now() - receivedAt;
   }
@@ -167,6 +181,7 @@
       const {onLack} = context;
       const result = await waitForServer({
         ...options,
+        waitUntil: computeWaitEnd(),
         ...(onLack ? {onLack: now => onLack(route, now)} : {}),
       });
       limitWaitMs = result.limitWaitMs;
@@ -229,7 +244,8 @@
   }
 
   function recordOutcome(result: AttemptResult, serverId: string): void {
-    if (result.reason === 'caller_left') {
+    // A server that refuses for a time and says so has no fault, and is used after it.
+    if (result.reason === 'caller_left' || attempts.hasPaused()) {
       return;
     }
     const hasAnswered =
@@ -242,7 +258,10 @@
   }
 
   /** Whether the request may be sent to another server after this result. */
-  function canRepeat(result: AttemptResult, serviceName: string): boolean {
+  async function claimRepeat(
+    result: AttemptResult,
+    serviceName: string,
+  ): Promise<boolean> {
     if (
       !hasTimeToRepeat() ||
       disconnectSignal.aborted ||
@@ -262,7 +281,17 @@
       return false;
     }
     // A failed connection puts no load on a server, so it costs no budget.
-    return result.isUnreachable || budgets.take(serviceName, clock.now());
+    return (
+      result.isUnreachable ||
+      waitForRepeat({
+        budgets,
+        serviceName,
+        waitUntil: computeWaitEnd(),
+        clock,
+        disconnectSignal,
+        stopSignal,
+      })
+    );
   }
 
   /** Sends the answer of the last attempt; returns an error if it has none. */
@@ -358,7 +387,7 @@
       if (
         disconnectSignal.aborted ||
         !hasFailed(result) ||
-        !(successor || canRepeat(result, service.name))
+        !(successor || (await claimRepeat(result, service.name)))
       ) {
         return settleResult(result);
       }
