--- a/packages/decisions/src/rank_headroom.ts
+++ b/packages/decisions/src/rank_headroom.ts
@@ -20,8 +20,11 @@
 
 /** Time in which the fraction falls to a third during a shortage. */
 const FALL_MS = 500;
-/** Time in which it rises from 0 to 1 afterwards; the load changes within seconds. */
-const RISE_MS = 15_000;
+/**
+ * Time in which it rises from 0 to 1 afterwards. 15 s refused large prompts for long
+ * after short bursts, while servers had room.
+ */
+const RISE_MS = 5000;
 /** Below it, servers could run out of work. */
 const MINIMUM_FACTOR = 0.15;
 /** Longest time between two calls for which the latest state of the shortage counts. */
--- a/packages/decisions/src/rank_reserve.ts
+++ b/packages/decisions/src/rank_reserve.ts
@@ -28,7 +28,7 @@
  * Lower bound of the share that counts as served. An instance that has only requests that
  * are held back serves none, and would let none pass.
  */
-const MINIMUM_SERVED_RATIO = 0.4;
+const MINIMUM_SERVED_RATIO = 0.25;
 /** Requests that a rank can save up; more would pass in a burst. */
 const MAXIMUM_CREDIT = 2;
 /** Time in which the weight of a recorded request halves. */
--- a/packages/gateway/src/relay/admission.ts
+++ b/packages/gateway/src/relay/admission.ts
@@ -68,6 +68,11 @@
   CapacityLack.SHARED,
   CapacityLack.ELSEWHERE,
 ]);
+/**
+ * Fraction of the usual backlog that a request may meet that passes by the reserve. Its
+ * prefill slows down the answers of the more urgent ones that run on the server.
+ */
+const PASSING_BACKLOG_FACTOR = 0.25;
 /** Of a request that passes by the reserve. */
 const FIRST_PLACE: WaitingPlace = {
   countAhead: () => 0,
@@ -135,7 +140,9 @@
       ...request.buildLimits(now),
       ...(place ? {place} : {}),
       isHeldBack: (name: string) => held.has(name),
-      backlogFactor: canPass ? 1 : backlogFactor,
+      backlogFactor: canPass
+        ? Math.max(PASSING_BACKLOG_FACTOR, backlogFactor)
+        : backlogFactor,
     };
     waiter.triedInTurn = turn;
     const selected = request.select(limits, now);
@@ -155,7 +162,10 @@
         lack === CapacityLack.SHARED || lack === CapacityLack.MIXED;
       holds.announce(open, {...waiter, isShared}, now);
       if (END_AT_ONCE.has(lack) && !request.hasBegun) {
-        waiter.limits.endsAt = Math.min(waiter.limits.endsAt, now);
+        waiter.limits.endsAt = Math.min(
+          waiter.limits.endsAt,
+          waiter.limits.sharedEndsAt,
+        );
       }
     }
     return undefined;
@@ -244,7 +254,7 @@
     resolve: Waiter['resolve'],
   ): Waiter {
     const {route, urgencyPosition: position} = request;
-    const targets = listTargets(route);
+    const targets = listTargets(route, request.metadata);
     return {
       request,
       position,
@@ -291,10 +301,10 @@
 
   return {
     wait,
-    addHolds: (route, limits, now) => {
+    addHolds: (route, metadata, limits, now) => {
       const position = limits.urgencyPosition;
       const blocked = listBlocked(position);
-      const held = listTargets(route).filter(target =>
+      const held = listTargets(route, metadata).filter(target =>
         holds.find(target, position, blocked, now),
       );
       return {
--- a/packages/gateway/src/relay/admission_reason.ts
+++ b/packages/gateway/src/relay/admission_reason.ts
@@ -77,7 +77,12 @@
   /** Waits until the request's turn has come and a server is available. */
   wait(request: AdmittedRequest): Promise<AdmissionResult>;
   /** Adds what holds back a request that is sent to a second server at once. */
-  addHolds(route: Route, limits: SelectionLimits, now: number): SelectionLimits;
+  addHolds(
+    route: Route,
+    metadata: RequestMetadata,
+    limits: SelectionLimits,
+    now: number,
+  ): SelectionLimits;
   /** Computes the delay after which the caller should retry, in milliseconds. */
   computeRetryAfter(request: RefusedAdmission): number;
   countWaiting(): number;
--- a/packages/gateway/src/relay/capacity_holds.ts
+++ b/packages/gateway/src/relay/capacity_holds.ts
@@ -1,15 +1,19 @@
 /** What holds a request back: more urgent ones that lack the same capacity. */
-import {createRankHeadroom} from '@buckthornbeam/decisions';
+import {createRankHeadroom, isShortPrompt} from '@buckthornbeam/decisions';
 import type {RankReserve, RoomShortages} from '@buckthornbeam/decisions';
-import type {Route} from '../model.js';
+import type {RequestMetadata, Route} from '../model.js';
 import type {SelectionClusterState} from '../state/server_selection.js';
 import {AdmissionReason} from './admission_reason.js';
 
 /** A service that may serve a request. */
 export interface CapacityTarget {
   name: string;
-  /** Identifies the part of its servers that may. */
+  /** Identifies the capacity: part of the servers, and length of the prompt. */
   key: string;
+  /** The capacity that the request lacks if it gets none; requests for it are held back. */
+  lackedKeys: readonly string[];
+  /** Less urgent requests for this capacity are held back with those for `key`. */
+  heldKeys: readonly string[];
 }
 
 /** The most urgent positions that lack capacity at this instance, by target key. */
@@ -64,17 +68,29 @@
 /** Position of a shortage that holds nothing back. */
 const LAST_POSITION = 1;
 
+/** Marks the capacity for short prompts, which long ones lack longer. */
+const SHORT_SUFFIX = '#short';
+
 /** Lists the services of a route once each. */
-export function listTargets({
-  targets,
-  allowedRegions,
-}: Route): CapacityTarget[] {
+export function listTargets(
+  {targets, allowedRegions}: Route,
+  {generation}: RequestMetadata,
+): CapacityTarget[] {
   const names = new Set(targets.map(target => target.serviceName));
   // Requests that are restricted to regions wait for a part of the servers, so that they
   // hold back those with the same restriction only.
-  const suffix =
+  const region =
     allowedRegions.length === 0 ? '' : `@${[...allowedRegions].sort().join()}`;
-  return [...names].map(name => ({name, key: `${name}${suffix}`}));
+  // A long prompt that finds no room does not hold back short ones, which delay it by
+  // little; otherwise one that cannot end in time refuses them while servers have room.
+  const length =
+    generation && isShortPrompt(generation.promptTokens) ? SHORT_SUFFIX : '';
+  return [...names].map(name => ({
+    name,
+    key: `${name}${length}${region}`,
+    lackedKeys: [...new Set([`${name}${length}${region}`, `${name}${region}`])],
+    heldKeys: [...new Set([`${name}${length}`, `${name}${length}${region}`])],
+  }));
 }
 
 export function createCapacityHolds({
@@ -99,32 +115,34 @@
   return {
     computeBacklogFactor: (targets, position, now) =>
       Math.min(
-        ...targets.map(({name}) =>
+        ...targets.map(({key, heldKeys}) =>
           headroom.computeFactor(
-            name,
+            key,
             position,
-            shortages.isHeldBack(name, position, now),
+            heldKeys.some(item => shortages.isHeldBack(item, position, now)),
             now,
           ),
         ),
       ),
-    find: ({name, key}, position, blocked, now) => {
+    find: ({name, heldKeys}, position, blocked, now) => {
       if (reserve.canPass(name, position)) {
         return undefined;
       }
-      const keys = key === name ? [name] : [name, key];
-      if (keys.some(item => (blocked.get(item) ?? Infinity) < position)) {
+      if (heldKeys.some(item => (blocked.get(item) ?? Infinity) < position)) {
         return AdmissionReason.ORDER;
       }
-      return keys.some(item => shortages.isHeldBack(item, position, now))
+      return heldKeys.some(item => shortages.isHeldBack(item, position, now))
         ? AdmissionReason.SHORTAGE
         : undefined;
     },
     addBlocked: (blocked, targets, request) => {
       for (const target of targets) {
-        const present = blocked.get(target.key) ?? Infinity;
-        if (request.position < present && hasOtherServer(target, request)) {
-          blocked.set(target.key, request.position);
+        if (!hasOtherServer(target, request)) {
+          continue;
+        }
+        for (const key of target.lackedKeys) {
+          const present = blocked.get(key) ?? Infinity;
+          blocked.set(key, Math.min(present, request.position));
         }
       }
     },
@@ -133,11 +151,13 @@
         if (!hasOtherServer(target, request)) {
           continue;
         }
-        const {name, key} = target;
+        const {name, lackedKeys} = target;
         if (request.isShared) {
-          shortages.record(key, request.position, now);
+          lackedKeys.forEach(key =>
+            shortages.record(key, request.position, now),
+          );
         }
-        if (!request.isShared || key !== name) {
+        if (!request.isShared || !lackedKeys.includes(name)) {
           // Shows that capacity of the service is scarce.
           shortages.record(name, LAST_POSITION, now);
         }
--- a/packages/gateway/src/relay/request_relay.ts
+++ b/packages/gateway/src/relay/request_relay.ts
@@ -217,7 +217,7 @@
     const now = clock.now();
     const otherIds = new Set([...excluded, ...slowServers, server.id]);
     const limits = context.admission
-      ? context.admission.addHolds(route, buildLimits(now), now)
+      ? context.admission.addHolds(route, metadata, buildLimits(now), now)
       : buildLimits(now);
     const next = selectServer(otherIds, limits, now);
     if (next && !budgets.take(service.name, now)) {
--- a/packages/gateway/src/state/start_estimate.ts
+++ b/packages/gateway/src/state/start_estimate.ts
@@ -25,12 +25,19 @@
   lossBeginsAt: number;
   /** Time at which the wait ends without a server. */
   endsAt: number;
+  /** The same for a wait that only the work of other instances can end. */
+  sharedEndsAt: number;
   /** Latest time at which a server without load would end the request in time. */
   latestStartAt: number;
 }
 
 /** A wait of up to this fraction of the target latency costs the caller nothing. */
 const FREE_WAIT_RATIO = 0.125;
+/**
+ * Fraction of the target latency for which a request waits although other instances may
+ * serve it. An eighth refused requests of ordinary days that found a server soon after.
+ */
+const SHARED_WAIT_RATIO = 0.25;
 /** Lower bound of the wait: a few turns of the queue. */
 const MINIMUM_WAIT_MS = 40;
 /** Fraction of the time that the request had after which an answer is worth nothing. */
@@ -117,6 +124,9 @@
   return {
     lossBeginsAt: now + freeMs,
     endsAt: Math.min(latestStartAt, now + freeMs + paidMs),
+    sharedEndsAt:
+      now +
+      Math.max(MINIMUM_WAIT_MS, route.targetLatencyMs * SHARED_WAIT_RATIO),
     latestStartAt,
   };
 }
