test(gateway): the answers beside a leaving server are counted, not timed

The callers now go on until there are as many; that all succeed and none reaches the leaving server is checked as before.

--- a/packages/gateway/__tests__/leaving_server.spec.ts
+++ b/packages/gateway/__tests__/leaving_server.spec.ts
@@ -89,6 +89,10 @@
   it('gets no request of ten callers after that answer', async () => {
     await runWithFleet({}, async (fleet, leaving) => {
       const results = await runLeave(fleet, leaving);
+      // A busy machine needs more time for as many answers.
+      for (let round = 0; round < 20 && results.length <= 100; round += 1) {
+        results.push(...(await fleet.runCallers(CALLERS, AFTER_MS)));
+      }
       checkNoneAfter(fleet, leaving);
       assert.ok(results.every(({status}) => status === 200));
       // The others serve all that comes.
