fix(gateway): evacuations are kept when peers bring a restored store

An evacuation that was not confirmed in time now leads to a full read, which decides. - An instance that heard of the new epoch from a peer had no grace period: it ended evacuations and let leaving servers return as the copy says. - A full read of the former store, answered after a peer brought the new epoch, was applied. It is rejected now.

--- a/packages/gateway/__tests__/restored_store.spec.ts
+++ b/packages/gateway/__tests__/restored_store.spec.ts
@@ -132,6 +132,60 @@
     assert.ok(listIds(state).includes('s3'));
   });
 
+  // Guards against an evacuation that ends for the whole fleet: this instance did not read
+  // the change that writes it again, since a peer did.
+  it('keeps an evacuation that a peer has read again', () => {
+    const south = buildServerChange('s3', {dataCentre: 'south'});
+    const state = createState([evacuation, south]);
+    applyFull(state, 2, 44, [buildServerChange('s1'), south], 1000);
+    const revision = buildStorePosition(2, 47);
+    state.confirmByPeer(
+      {revision, version: 6, confirmedAgeMs: 0, digest: state.computeDigest()},
+      3000,
+    );
+    state.applyStoreSnapshot({revision, changes: [], isFull: false}, 12_000);
+    assert.not.ok(listIds(state).includes('s3'));
+    assert.ok(state.isFullReadDue(12_000));
+    applyFull(state, 2, 48, [evacuation, south], 12_500);
+    assert.not.ok(listIds(state).includes('s3'));
+    assert.not.ok(state.isFullReadDue(12_500));
+  });
+
+  // Guards against the copy's state that is taken at once by an instance which heard of
+  // the restore from a peer.
+  it('keeps what the copy lacks if a peer brings the new epoch', () => {
+    const south = buildServerChange('s3', {dataCentre: 'south'});
+    const state = createState([evacuation, south]);
+    state.applyStoreSnapshot(
+      {
+        revision: buildStorePosition(1, 51),
+        changes: [buildServerChange('s1', {isDraining: true})],
+        isFull: false,
+      },
+      500,
+    );
+    const peer = createState([south]);
+    applyFull(
+      peer,
+      2,
+      44,
+      [buildServerChange('s1'), buildServerChange('s2'), south],
+      1000,
+    );
+    const request = {version: 6, revision: undefined};
+    state.applyPeerSnapshot(peer.buildSnapshot(request, 1000)!, 1000);
+    assert.is(state.getRevision(), buildStorePosition(2, 44));
+    assert.equal(listIds(state), ['s2']);
+  });
+
+  // Guards against a listing of the former store that arrives after the restore.
+  it('rejects a full read of an earlier epoch', () => {
+    const state = createState([evacuation]);
+    applyFull(state, 2, 44, [evacuation, buildServerChange('s1')], 1000);
+    assert.throws(() => applyFull(state, 1, 60, [], 2000), /epoch 1 after 2/);
+    assert.ok(listIds(state).includes('s1'));
+  });
+
   it('keeps a server leaving that the copy lists as ready', () => {
     const state = createState();
     state.applyStoreSnapshot(
--- a/packages/gateway/src/state/cluster_state.ts
+++ b/packages/gateway/src/state/cluster_state.ts
@@ -10,7 +10,7 @@
 import {createRestoredStore} from './restored_store.js';
 import {createServerEntries} from './server_entries.js';
 import type {SnapshotServer, TrackedServer} from './server_entries.js';
-import {getStoreEpoch} from './store_position.js';
+import {assertStoreEpoch, getStoreEpoch} from './store_position.js';
 
 /** Cluster state that an instance sends to a peer, as JSON. */
 export interface ClusterStateSnapshot {
@@ -60,12 +60,15 @@
   /**
    * Applies an answer of the store that was received at `now` and holds what the store
    * had at `confirmedAt` or later.
+   * @throws RouterError `platform_unavailable` if it is of an earlier epoch
    */
   applyStoreSnapshot(
     snapshot: StoreSnapshot,
     now: number,
     confirmedAt?: number,
   ): void;
+  /** Whether only a full read of the store tells what is in force. */
+  isFullReadDue(now: number): boolean;
   /** Applies the state of a peer unless it has a lower revision than this instance. */
   applyPeerSnapshot(snapshot: ClusterStateSnapshot, now: number): void;
   /**
@@ -311,6 +314,11 @@
     if (configuration && now - confirmedAt > UNCONFIRMED_GAP_MS) {
       storeFailedAt = now;
     }
+    const epoch = getStoreEpoch(snapshot.revision);
+    if (epoch < getStoreEpoch(revision)) {
+      // A peer heard of the restore while this read of the former store was under way.
+      assertStoreEpoch(getStoreEpoch(revision), epoch);
+    }
     recordEpoch(snapshot.revision, now);
     recordStoreReturn(now);
     const nextRevision = Math.max(revision, snapshot.revision);
@@ -320,10 +328,8 @@
     }
     if (snapshot.isFull) {
       removeUnlisted(snapshot.changes, now);
+      restoredStore.recordFullRead(now);
     }
-    restoredStore
-      .takeUnconfirmed(now)
-      .forEach(dataCentre => setEvacuated(dataCentre, false, now));
     revision = nextRevision;
     areDifferencesSound = true;
     recordConfirmation(storeConfirmedAt);
@@ -349,7 +355,11 @@
   }
 
   function applyPeerServers(snapshot: ClusterStateSnapshot, now: number): void {
-    snapshot.servers.forEach(entry => entries.storeFromPeer(entry, now));
+    snapshot.servers.forEach(entry => {
+      const previous = entries.find(entry.id)?.server;
+      const merged = restoredStore.mergeServer(entry, previous, now);
+      entries.storeFromPeer(merged, now);
+    });
     snapshot.removedServerIds.forEach(id => entries.remove(id, now, 0));
     if (snapshot.sinceRevision === undefined) {
       const listed = new Set(snapshot.servers.map(entry => entry.id));
@@ -372,6 +382,7 @@
     if (snapshot.revision < revision || sinceRevision > revision) {
       return;
     }
+    recordEpoch(snapshot.revision, now);
     entries.beginRevision(snapshot.revision);
     acceptPeerConfiguration(snapshot.configurationText);
     snapshot.evacuated.forEach(item => setEvacuated(item, true, now));
@@ -421,6 +432,7 @@
 
   return {
     applyStoreSnapshot,
+    isFullReadDue: now => restoredStore.isFullReadDue(now),
     applyPeerSnapshot,
     confirmByPeer: (summary, now) => {
       if (!configuration || summary.version !== configuration.version) {
@@ -429,6 +441,7 @@
       const peerConfirmedAt = now - summary.confirmedAgeMs;
       recordConfirmation(peerConfirmedAt);
       if (summary.revision >= revision && summary.digest === computeDigest()) {
+        recordEpoch(summary.revision, now);
         revision = summary.revision;
         entries.beginRevision(revision);
         areDifferencesSound = true;
--- a/packages/gateway/src/state/restored_store.ts
+++ b/packages/gateway/src/state/restored_store.ts
@@ -11,17 +11,22 @@
   isEvacuationKept(dataCentre: string, now: number): boolean;
   /** Records that the store lists the evacuation, or reports its end. */
   confirmEvacuation(dataCentre: string): void;
-  /** Takes the data centres whose evacuation was not written again in time. */
-  takeUnconfirmed(now: number): string[];
+  /**
+   * Whether an evacuation was not written again in time, as far as this instance knows.
+   * Another one may have read it, so that only a full read tells.
+   */
+  isFullReadDue(now: number): boolean;
+  /** Records a full read, after which the store's list of evacuations counts. */
+  recordFullRead(now: number): void;
   /**
    * Returns the entry to store: a server that was leaving before the restore keeps
    * leaving for the rest of its life, whatever the copy says.
    */
-  mergeServer(
-    next: BackendServer,
+  mergeServer<Entry extends BackendServer>(
+    next: Entry,
     previous: BackendServer | undefined,
     now: number,
-  ): BackendServer;
+  ): Entry;
 }
 
 /**
@@ -46,13 +51,11 @@
     confirmEvacuation: dataCentre => {
       unconfirmed.delete(dataCentre);
     },
-    takeUnconfirmed: now => {
-      if (now < graceEndsAt) {
-        return [];
+    isFullReadDue: now => now >= graceEndsAt && unconfirmed.size > 0,
+    recordFullRead: now => {
+      if (now >= graceEndsAt) {
+        unconfirmed.clear();
       }
-      const dataCentres = [...unconfirmed];
-      unconfirmed.clear();
-      return dataCentres;
     },
     mergeServer: (next, previous, now) =>
       now < graceEndsAt &&
--- a/packages/gateway/src/state/store_watcher.ts
+++ b/packages/gateway/src/state/store_watcher.ts
@@ -67,7 +67,11 @@
 
   function readNext(): Promise<StoreSnapshot> {
     // A state that came from a peer is continued like one of the store.
-    if (isHistoryLost || !clusterState.getConfiguration()) {
+    if (
+      isHistoryLost ||
+      !clusterState.getConfiguration() ||
+      clusterState.isFullReadDue(clock.now())
+    ) {
       return callStore(FULL_READ_TIMEOUT_MS, signal => reader.fetchAll(signal));
     }
     const revision = clusterState.getRevision();
