fix(gateway): the margin of a stop counts all open requests

The margin before the kill counted requests that were open at the signal only. 300 requests accepted afterwards, at a server that has become silent, take 2.4 s to be ended at 0.12 of a core. The time is computed again when new requests are refused.

flush() of the log writer resolved while a write was under way that another call had begun, so that a stop went on to process.exit, which waits for that write without a limit.

Found by review; stop_times.spec and gateway_stop.spec pass. There is no test of its own.

--- a/packages/gateway/src/log_writer.ts
+++ b/packages/gateway/src/log_writer.ts
@@ -65,9 +65,9 @@
   async function flush(): Promise<void> {
     clearTimeout(timer);
     timer = undefined;
-    await pendingWrite;
-    if (lines.length > 0) {
-      pendingWrite = writeBytes(takeBuffer()).finally(() => {
+    // Another call may start a write with the lines while this one waits.
+    while (pendingWrite || lines.length > 0) {
+      pendingWrite ??= writeBytes(takeBuffer()).finally(() => {
         pendingWrite = undefined;
       });
       await pendingWrite;
--- a/packages/gateway/src/memory/machine_limits.ts
+++ b/packages/gateway/src/memory/machine_limits.ts
@@ -46,7 +46,10 @@
 /** Connections of callers that stay open between requests need no server. */
 const CALLER_RATIO = 0.6;
 const REQUEST_RATIO = 0.35;
-/** The rest, a fiftieth, is for the store and the listeners. */
+/**
+ * Connections of peers and status requests that callers leave free. The rest, a fiftieth,
+ * is for the store and the listeners.
+ */
 const RESERVED_RATIO = 0.03;
 /**
  * Holds one connection of each of 419 peers on the smallest machine. Connections of peers
--- a/packages/gateway/src/stop/planned_stop.ts
+++ b/packages/gateway/src/stop/planned_stop.ts
@@ -70,8 +70,7 @@
       computeStopTimes({
         signalledAt: sentAt,
         graceMs,
-        // Requests were accepted to end by the margin for so many.
-        openRequests: Math.min(openAtSignal, callerServer.countOpen()),
+        openRequests: callerServer.countOpen(),
       });
     const times = computeTimes();
     callerServer.beginDrain(times.requestsEndAt);
@@ -83,6 +82,8 @@
     await waitUntil(times.closeIdleAt);
     callerServer.closeIdleConnections();
     await waitUntil(times.refuseAt);
+    // Requests that were accepted since then take time to be ended, too.
+    callerServer.beginDrain(computeTimes().requestsEndAt);
     callerServer.refuseNewRequests();
     callerServer.closeIdleConnections();
     await waitForRequests(() => computeTimes().requestsEndAt);
