fix(scripts): the script of the gateway is strict, and a former code cache is removed first

Modules are strict and the script made of them was not, so that writes to frozen objects were ignored in the deployed program only. V8 compares the length of a script with its cache and not its text; between the two writes a start could use functions of the former build.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -51,7 +51,8 @@
   if (left) {
     throw new Error(`cannot be turned into a script: ${left[0]}`);
   }
-  return `(async function (require) {\n${body}\n})`;
+  // Modules are strict, scripts are not.
+  return `(async function (require) {\n'use strict';\n${body}\n})`;
 }
 
 /** Reads the V8 flags of the deployed command: a cache is valid for equal flags only. */
@@ -62,9 +63,10 @@
   return flags.trim().split(' ').filter(Boolean);
 }
 
+// V8 compares the length of a script, not its text, with that of its cache.
+rmSync(CACHE_FILE, {force: true});
 writeFileSync(SCRIPT_FILE, toScript(readFileSync(MODULE_FILE, 'utf8')));
 copyFileSync('scripts/load_gateway.cjs', LOADER_FILE);
-rmSync(CACHE_FILE, {force: true});
 const caching = spawnSync(
   process.execPath,
   [...readDeployedFlags(), 'scripts/write_code_cache.cjs'],
