--- a/packages/gateway/src/relay/repeat_wait.ts
+++ b/packages/gateway/src/relay/repeat_wait.ts
@@ -23,15 +23,15 @@
 ): Promise<boolean> {
   const {budgets, serviceName, clock, waitUntil = -Infinity} = options;
   const {disconnectSignal, stopSignal} = options;
-  while (!budgets.take(serviceName, clock.now())) {
-    if (
-      disconnectSignal.aborted ||
-      stopSignal.aborted ||
-      clock.now() + POLL_MS > waitUntil
-    ) {
+  while (!disconnectSignal.aborted && !stopSignal.aborted) {
+    const now = clock.now();
+    if (budgets.take(serviceName, now)) {
+      return true;
+    }
+    if (now + POLL_MS > waitUntil) {
       return false;
     }
     await waitFor(POLL_MS, disconnectSignal);
   }
-  return true;
+  return false;
 }
