fix(gateway): a watch that the store has no history for is followed by a full read at once

The 410 is no failure now; the same instance reads the whole state at once. Without the change the new test fails (a failed read is counted).

--- a/packages/gateway/__tests__/store_watcher.spec.ts
+++ b/packages/gateway/__tests__/store_watcher.spec.ts
@@ -131,6 +131,19 @@
 
   // Guards against a key that is accepted for too long: the answer, or a page of it, may
   // be as old as the call.
+  // Guards against a configuration that takes seconds to arrive after the store has dropped
+  // its history: as a failure, the answer leaves the next read to another instance.
+  it('reads at once and counts no failure when the history of the store is lost', async () => {
+    const {results} = await runWatcher(
+      [
+        async () => createSnapshot(7, 1, true),
+        async () => createSnapshot(30, 3, true),
+      ],
+      [fail('platform_history_lost')],
+    );
+    assert.equal(results, [true, true]);
+  });
+
   it('counts the age of the state from the request of a slow read', async () => {
     const {clusterState} = await runWatcher(
       [
--- a/packages/gateway/src/state/store_watcher.ts
+++ b/packages/gateway/src/state/store_watcher.ts
@@ -116,10 +116,15 @@
 
   function recordFailure(error: unknown): void {
     const failure = toRouterError(error);
-    clusterState.recordStoreFailure(clock.now());
-    if (failure.code === 'platform_history_lost') {
+    if (failure.code === 'platform_history_lost' && !isHistoryLost) {
       isHistoryLost = true;
+      // The store is there. A full read counts as no failure and follows at once: as a
+      // failure, it let other instances read first, and each met the same answer.
+      isRefreshRequested = true;
+      logger.info('store_history_lost', {reason: failure.message});
+      return;
     }
+    clusterState.recordStoreFailure(clock.now());
     if (isConnected || failures === 0) {
       logger.warn('store_lost', {
         code: failure.code,
