perf(gateway): heads are sampled only while many connections are open

The sampling woke each process 20 times a second, also without a client. Below the number of connections whose longest heads fit in an eighth of the memory there is nothing to bound. unfinished_heads, caller_limits and caller_connections: 38 passed.

--- a/packages/gateway/src/http/caller_limits.ts
+++ b/packages/gateway/src/http/caller_limits.ts
@@ -18,6 +18,16 @@
 /** The parser counts the URL as well, the configured limit does not. */
 const URL_BYTES = 8192;
 
+/** Whether heads of the longest kind on all connections take little of the memory. */
+export function canHoldLongHeads(
+  connections: number,
+  memoryBytes: number,
+): boolean {
+  return (
+    connections * PARSER_MAXIMUM_HEADER_BYTES <= memoryBytes * LONG_HEAD_RATIO
+  );
+}
+
 /** Options of {@link computeParserLimit}. */
 export interface ParserLimitOptions {
   /** Connections that are open. */
@@ -36,8 +46,7 @@
   memoryBytes,
   limits,
 }: ParserLimitOptions): number {
-  const bytes = (connections + 1) * PARSER_MAXIMUM_HEADER_BYTES;
-  return bytes <= memoryBytes * LONG_HEAD_RATIO
+  return canHoldLongHeads(connections + 1, memoryBytes)
     ? PARSER_MAXIMUM_HEADER_BYTES
     : Math.min(
         PARSER_MAXIMUM_HEADER_BYTES,
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -8,7 +8,11 @@
 import type {CallerLimits} from '../model.js';
 import {createCallerConnections} from './caller_connections.js';
 import type {CallerConnections} from './caller_connections.js';
-import {INITIAL_LIMITS, computeParserLimit} from './caller_limits.js';
+import {
+  INITIAL_LIMITS,
+  canHoldLongHeads,
+  computeParserLimit,
+} from './caller_limits.js';
 import {answerParserError} from './caller_sockets.js';
 import {createUnfinishedHeads} from './unfinished_heads.js';
 
@@ -86,9 +90,32 @@
     });
   }
 
+  function canStopSampling(): boolean {
+    return canHoldLongHeads(connections.count(), memory.limitBytes);
+  }
+
+  /** Samples while there are many connections only: a small machine has no time for more. */
+  function startSampling(): void {
+    sampleTimer ??= setInterval(() => {
+      heads.sample();
+      if (canStopSampling()) {
+        stopSampling();
+      }
+    }, HEAD_SAMPLE_INTERVAL_MS).unref();
+  }
+
+  function stopSampling(): void {
+    clearInterval(sampleTimer);
+    sampleTimer = undefined;
+    heads.stop();
+  }
+
   updateParserLimit();
   server.on('connection', (socket: Socket) => {
     updateParserLimit();
+    if (!canStopSampling()) {
+      startSampling();
+    }
     socket.once('close', updateParserLimit);
   });
   server.on('clientError', (error, socket) => {
@@ -97,10 +124,7 @@
       answerParserError(error, socket as Socket),
     );
   });
-  server.once('close', () => {
-    clearInterval(sampleTimer);
-    heads.stop();
-  });
+  server.once('close', stopSampling);
 
   return {
     connections,
@@ -111,12 +135,6 @@
           {...splitAddress(address), backlog: ACCEPT_BACKLOG},
           () => {
             server.removeListener('error', reject);
-            if (memory.limitBytes !== Infinity) {
-              sampleTimer = setInterval(
-                () => heads.sample(),
-                HEAD_SAMPLE_INTERVAL_MS,
-              ).unref();
-            }
             resolve();
           },
         );
