--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,10 +1,10 @@
 /**
- * Clients send two reads on a kept connection without waiting for the first answer. Both
- * are passed on to servers; then the machine gets SIGTERM.
+ * A machine stands still for 2.4 s. Just before it wakes up, the entry of a server that
+ * leaves without notice is removed. The machine reads that first, keeps the server for a
+ * while as if the store had been away, and all others learn the server's state from it.
  */
-import {connect} from 'node:net';
 import {fileURLToPath} from 'node:url';
-import {splitAddress} from '../stand_ins_2/addresses.mjs';
+import {sendRequest} from '../stand_ins_2/client.mjs';
 import {runCase, wait} from '../stand_ins_2/run_case.mjs';
 import {
   KEY,
@@ -18,47 +18,13 @@
 } from '../stand_ins_2/site.mjs';
 import {startStore} from '../stand_ins_2/store.mjs';
 
-const CLIENTS = 10;
-/** The longest run of the sheet lasts 220 ms. */
-const WORK_MS = 200;
+/** Largest dose of the sheet for `node_freeze`: 3.5 s. */
+const FREEZE_MS = 2400;
+const DRAIN_MS = 2000;
 const DEADLINE_MS = 1000;
-
-function buildHead(id) {
-  return [
-    `GET /log/${id} HTTP/1.1`,
-    `Host: ${ROUTE_HOST}`,
-    `X-Request-Id: ${id}`,
-    `X-Deadline-Ms: ${DEADLINE_MS}`,
-    `Authorization: Bearer ${KEY}`,
-    '',
-    '',
-  ].join('\r\n');
-}
-
-/** Sends both requests; resolves to the text that arrived when the connection has ended. */
-function sendPair(address, ids, record) {
-  const socket = connect(splitAddress(address));
-  let text = '';
-  socket.on('data', bytes => {
-    text += bytes;
-    if (text.split('HTTP/1.1 ').length > ids.length && text.endsWith('x')) {
-      setTimeout(() => socket.end(), 300).unref();
-    }
-  });
-  socket.on('error', error => record('client', 'error', {code: error.code}));
-  socket.write(ids.map(buildHead).join(''));
-  ids.forEach(id => record('client', 'sends', {request: id}));
-  return new Promise(resolve => {
-    socket.on('close', () => {
-      const answered = ids.filter(id => text.includes(`X-Request-Id: ${id}`));
-      record('client', 'connection has ended', {
-        requests: ids.join(),
-        answered: answered.join(),
-      });
-      resolve({ids, answered});
-    });
-  });
-}
+/** Time that is sure to be over when the request arrives. */
+const MARGIN_MS = 60;
+const JUDGED_MS = 900;
 
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async context => {
   const {record, hasTrouble, onEnd} = context;
@@ -69,37 +35,64 @@
     service: REGISTRY,
     zones: ZONES,
     slots: 6,
-    workMs: WORK_MS,
+    workMs: 20,
   });
-  const plans = await planGateways(ZONES.slice(0, 2));
+  const plans = await planGateways(ZONES);
   const gateways = plans.map(plan =>
-    startPlanned(context, plan, plans, store.address),
+    startPlanned(context, plan, plans, store.address, (name, line) => {
+      if (/event=(server_lapsed|server_removed)/.test(line)) {
+        record('gateway', 'logs', {gateway: name, line: line.slice(0, 300)});
+      }
+    }),
   );
   await Promise.all(gateways.map(gateway => gateway.waitUntilReady()));
   await wait(4000);
 
-  const [leaving] = gateways;
-  const pairs = Array.from({length: CLIENTS}, (_, index) =>
-    sendPair(
-      leaving.listen.callers,
-      [`first-${index}`, `second-${index}`],
-      record,
-    ),
-  );
-  await wait(80);
+  // The machines beside the leaving server are sound, and in touch all the while.
+  const [frozen, ...sound] = gateways;
+  const leaving = servers[3];
   if (hasTrouble) {
-    leaving.signal('SIGTERM');
+    frozen.signal('SIGSTOP');
   }
-  const results = await Promise.all(pairs);
-  const runIds = new Set(
-    servers.flatMap(server => server.runs.map(run => run.requestId)),
-  );
-  return results.flatMap(({ids, answered}) =>
-    ids
-      .filter(id => runIds.has(id) && !answered.includes(id))
-      .map(
-        id =>
-          `LOST ${id}: passed on, run by a server, and its connection ended without an answer`,
-      ),
-  );
+  await wait(FREEZE_MS);
+  // The next moment at which one of the others has just read the store.
+  await new Promise(resolve => {
+    const stopListening = store.onRequest(() => {
+      stopListening();
+      resolve();
+    });
+  });
+  await wait(120);
+  leaving.beginLeaving();
+  store.remove(`servers/${leaving.id}`);
+  const removedAt = performance.now();
+  if (hasTrouble) {
+    frozen.signal('SIGCONT');
+  }
+
+  await wait(removedAt + DRAIN_MS + MARGIN_MS - performance.now());
+  let requests = 0;
+  while (performance.now() < removedAt + DRAIN_MS + JUDGED_MS) {
+    await Promise.all(
+      sound.map(gateway => {
+        requests += 1;
+        return sendRequest({
+          address: gateway.listen.callers,
+          host: ROUTE_HOST,
+          path: '/log/a',
+          id: `look-${requests}`,
+          method: 'GET',
+          key: KEY,
+          deadlineMs: DEADLINE_MS,
+          record,
+        }).done;
+      }),
+    );
+  }
+  return leaving.runs
+    .filter(({at}) => at > removedAt + DRAIN_MS)
+    .map(
+      run =>
+        `DRAIN ${run.requestId}: run by ${leaving.id} ${Math.round(run.at - removedAt)} ms after the store had acknowledged that it is gone`,
+    );
 });
